SIGHUP reads the configuration anew and moves the watch; it ended the JVM

Main installed nothing for the signal, and the JVM runs its shutdown hooks on it: the hook's halt(0) is the status seen. Now: Main.serve takes the signal before all else, Loop.reload reads the file on the signal's thread, and the reducer's Watch closes the old connection and opens one to the new address at once. A pending reopening of the old watch no longer opens a second one (Watch.ended had no guard). CloseWatch without a watch was a NullPointerException (Loop.perform). Checked: two new tests on the process, both fail without the change; SIGHUP during a planned end does not disturb it.

--- a/src/main/java/granitefold/Main.java
+++ b/src/main/java/granitefold/Main.java
@@ -7,8 +7,10 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.Collections;
+import java.util.concurrent.CompletableFuture;
 import java.util.jar.JarEntry;
 import java.util.jar.JarFile;
+import sun.misc.Signal;
 
 /** Entry point: {@code serve} is one real dispatcher, {@code benchlink} the decisions on the simulator's wire. */
 public final class Main {
@@ -36,9 +38,13 @@
             if (file == null || file.isEmpty()) {
                 throw new BadWire("LB_CONFIG names no file");
             }
+            // before all else: unhandled, the signal ends the JVM
+            CompletableFuture<Loop> started = new CompletableFuture<>();
+            Signal.handle(new Signal("HUP"), signal -> started.thenAccept(loop -> loop.reload(Path.of(file))));
             Loop loop = new Loop(Config.read(Path.of(file)));
             Runtime.getRuntime().addShutdownHook(new Thread(() -> terminate(loop), "terminate"));
             loop.start();
+            started.complete(loop);
         } catch (BadWire e) {
             fail("bad configuration: " + e.getMessage());
         } catch (Exception e) {
--- a/src/main/java/granitefold/core/Effect.java
+++ b/src/main/java/granitefold/core/Effect.java
@@ -15,8 +15,8 @@
     /** Close a peer connection; no event follows. */
     record ClosePeer(long connection) implements Effect { }
 
-    /** Open a watch on discovery for what changed after a version. */
-    record OpenWatch(long version) implements Effect { }
+    /** Open a watch on discovery, at this address, for what changed after a version. */
+    record OpenWatch(String address, long version) implements Effect { }
 
     /** Close the watch, if there is one; no event follows. */
     record CloseWatch() implements Effect { }
--- a/src/main/java/granitefold/core/Event.java
+++ b/src/main/java/granitefold/core/Event.java
@@ -4,7 +4,7 @@
 public sealed interface Event {
 
     /** The sockets are open: {@code known} is the list of a former life, maybe old. */
-    record Opened(PeerList known) implements Event { }
+    record Opened(PeerList known, String discovery) implements Event { }
 
     /** A client connection has brought a whole request. */
     record RequestArrived(long client, Submission submission) implements Event { }
@@ -33,6 +33,9 @@
     /** The watch has ended. */
     record WatchEnded(String why) implements Event { }
 
+    /** The configuration was read anew: discovery is found at this address from now on. */
+    record DiscoveryMoved(String address) implements Event { }
+
     /** A sibling's datagram. */
     record SiblingSaid(int from, byte[] message) implements Event { }
 
--- a/src/main/java/granitefold/core/Reducer.java
+++ b/src/main/java/granitefold/core/Reducer.java
@@ -91,7 +91,7 @@
 
     private void handle(Event event) {
         if (event instanceof Event.Opened e) {
-            opened(e.known());
+            opened(e.known(), e.discovery());
         } else if (event instanceof Event.RequestArrived e) {
             requestArrived(e.client(), e.submission());
         } else if (event instanceof Event.ClientGone e) {
@@ -117,6 +117,8 @@
             serve();
         } else if (event instanceof Event.WatchEnded e) {
             watch.ended(e.why(), now);
+        } else if (event instanceof Event.DiscoveryMoved e) {
+            watch.move(e.address(), now);
         } else if (event instanceof Event.SiblingSaid e) {
             module.heard(now, e.from(), e.message());
         } else if (event instanceof Event.Terminated) {
@@ -130,10 +132,10 @@
         effects.add(new Effect.Log("phase: " + next));
     }
 
-    private void opened(PeerList known) {
+    private void opened(PeerList known, String discovery) {
         module.start(now);
         listed(ListNews.SAVED, known);
-        watch = new Watch(known.version(), timers, effects);
+        watch = new Watch(discovery, known.version(), timers, effects);
         watch.open(now);
         timers.at(now + START_US, t -> serve());
         sweep(now);
--- a/src/main/java/granitefold/core/Watch.java
+++ b/src/main/java/granitefold/core/Watch.java
@@ -11,13 +11,15 @@
 
     private final Timers timers;
     private final List<Effect> effects;
+    private String address;
     private long version;
     private long heardAt;
     private long pause = PAUSE_FIRST_US;
-    /** Counts the watches opened, so that a timer for an earlier one is known. */
+    /** Counts the watches opened and ended, so that a timer for an earlier one is known. */
     private int opened;
 
-    Watch(long version, Timers timers, List<Effect> effects) {
+    Watch(String address, long version, Timers timers, List<Effect> effects) {
+        this.address = address;
         this.version = version;
         this.timers = timers;
         this.effects = effects;
@@ -26,7 +28,7 @@
     void open(long now) {
         opened++;
         heardAt = now;
-        effects.add(new Effect.OpenWatch(version));
+        effects.add(new Effect.OpenWatch(address, version));
         checkLater(opened);
     }
 
@@ -38,10 +40,25 @@
         }
     }
 
+    /** Leaves the watch on the old address, which may be about to end, for one on the new, at once. */
+    void move(String to, long now) {
+        if (!to.equals(address)) {
+            address = to;
+            pause = PAUSE_FIRST_US;
+            effects.add(new Effect.CloseWatch());
+            open(now);
+        }
+    }
+
     void ended(String why, long now) {
-        opened++;
+        int which = ++opened;
         effects.add(new Effect.Log("discovery: watch ended: " + why));
-        timers.at(now + pause, this::open);
+        timers.at(now + pause, t -> {
+            // else it has moved meanwhile, and is open
+            if (which == opened) {
+                open(t);
+            }
+        });
         pause = Math.min(PAUSE_MOST_US, pause * 2);
     }
 
--- a/src/main/java/granitefold/net/Loop.java
+++ b/src/main/java/granitefold/net/Loop.java
@@ -14,6 +14,7 @@
 import java.nio.channels.DatagramChannel;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import java.nio.file.Path;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -77,11 +78,25 @@
             if (config.siblingListen() != null) {
                 openSiblings();
             }
-            post(new Event.Opened(config.known()));
+            post(new Event.Opened(config.known(), Address.text(config.discovery())));
             sockets.acceptor(listener);
         });
     }
 
+    /**
+     * Reads the configuration anew and goes over to the discovery that it names; all else in it is for the next
+     * start. A broken file changes nothing. From any thread but the selector's, which must not wait for a file.
+     */
+    public synchronized void reload(Path file) {
+        try {
+            String discovery = Address.text(Config.read(file).discovery());
+            LOG.info("configuration: read anew, discovery at {}", discovery);
+            sockets.submit(() -> post(new Event.DiscoveryMoved(discovery)));
+        } catch (RuntimeException e) {
+            LOG.warn("configuration: kept as it was: {}", e.getMessage());
+        }
+    }
+
     /** Tells the reducer that the program is to end, and waits until it has; from a shutdown hook. */
     public void terminate(long mostMs) throws InterruptedException {
         sockets.submit(() -> post(new Event.Terminated()));
@@ -170,12 +185,14 @@
                 link.close();
             }
         } else if (effect instanceof Effect.OpenWatch e) {
-            watch = new WatchLink(this, config.discovery(), e.version());
+            watch = new WatchLink(this, Address.of(e.address()), e.version());
             watch.connect(sockets);
         } else if (effect instanceof Effect.CloseWatch) {
             WatchLink last = watch;
             watch = null;
-            last.close();
+            if (last != null) {
+                last.close();
+            }
         } else if (effect instanceof Effect.Tell e) {
             if (siblings != null) {
                 siblings.tell(e.sibling(), e.message());
--- a/src/test/java/granitefold/core/ReducerTest.java
+++ b/src/test/java/granitefold/core/ReducerTest.java
@@ -39,7 +39,7 @@
     }
 
     private void request() {
-        play(new Event.Opened(list(State.READY, true)));
+        play(new Event.Opened(list(State.READY, true), "127.0.0.1:2"));
         play(new Event.RequestArrived(7, new Submission(0, 0, 2 * SECOND, 1_000, 1, 0, 0, new Payload() { })));
     }
 
--- a/src/test/java/granitefold/real/RealProgram.java
+++ b/src/test/java/granitefold/real/RealProgram.java
@@ -30,14 +30,15 @@
 
     final List<String> log = new ArrayList<>();
     final Process process;
+    private final Map<String, String> config = new HashMap<>();
+    private final Path file = Files.createTempFile("config", ".json");
     private final BlockingQueue<String> lines = new LinkedBlockingQueue<>();
-    private final ServerSocket discovery = listen();
+    private ServerSocket discovery = listen();
     private final List<Closeable> opened = new ArrayList<>();
     private InetSocketAddress address;
 
     /** Starts with these peers known; the fields replace or join those of the configuration. */
     RealProgram(Map<String, String> fields, Peer... peers) throws IOException {
-        Map<String, String> config = new HashMap<>();
         config.put("name", "\"n0\"");
         config.put("listen", "\"" + text(HOST, 0) + "\"");
         config.put("discovery", "\"" + text(HOST, discovery.getLocalPort()) + "\"");
@@ -46,16 +47,44 @@
         config.put("known", list(1, true, peers));
         config.put("settings", settings("\"attemptsCap\":4,\"connectTimeoutMs\":5000,\"idleCloseMs\":60000"));
         config.putAll(fields);
+        Files.writeString(file, json());
+        process = launch(file);
+        Thread reader = new Thread(() -> process.inputReader().lines().forEach(lines::add));
+        reader.setDaemon(true);
+        reader.start();
+    }
+
+    private String json() {
         StringBuilder json = new StringBuilder();
         config.forEach((k, v) -> json.append(json.isEmpty() ? "{" : ",").append('"').append(k).append("\":").append(v));
-        process = launch(json + "}");
+        return json + "}";
+    }
+
+    /** Moves discovery to another address, and names it in the configuration. */
+    void moveDiscovery() throws IOException {
+        discovery.close();
+        discovery = listen();
+        config.put("discovery", "\"" + text(HOST, discovery.getLocalPort()) + "\"");
+        Files.writeString(file, json());
+    }
+
+    void breakConfiguration() throws IOException {
+        Files.writeString(file, json().substring(1));
+    }
+
+    void signal(String name) throws IOException {
+        new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + process.pid()).inheritIO().start();
     }
 
     /** Starts the program on a configuration as it is. */
     static Process launchOn(String config) throws IOException {
         Path file = Files.createTempFile("config", ".json");
-        file.toFile().deleteOnExit();
         Files.writeString(file, config);
+        return launch(file);
+    }
+
+    private static Process launch(Path file) throws IOException {
+        file.toFile().deleteOnExit();
         String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream().filter(l -> l.startsWith("run"))
                 .findFirst().orElseThrow();
         ProcessBuilder b = new ProcessBuilder("/bin/sh", "-c", run.substring(run.indexOf('"') + 1,
@@ -64,14 +93,6 @@
         return b.start();
     }
 
-    private Process launch(String config) throws IOException {
-        Process p = launchOn(config);
-        Thread reader = new Thread(() -> p.inputReader().lines().forEach(lines::add));
-        reader.setDaemon(true);
-        reader.start();
-        return p;
-    }
-
     static String settings(String limits) {
         return "{\"classes\":[{\"name\":\"ficha\",\"effect\":\"retryable\",\"group\":\"all\",\"onTimeMs\":300,"
                 + "\"deadlineMs\":5000,\"points\":1},{\"name\":\"guardar\",\"effect\":\"dedup\",\"group\":\"all\","
--- a/src/test/java/granitefold/real/ServeIT.java
+++ b/src/test/java/granitefold/real/ServeIT.java
@@ -203,6 +203,39 @@
         program.awaitLog("discovery: list 2");
     }
 
+    /** The signal would end the JVM. The old discovery is left at once, and a broken file changes nothing. */
+    @Test
+    public void aHangUpMovesTheWatchAndABrokenFileDoesNot() throws Exception {
+        Exchange watch = start(a);
+        program.breakConfiguration();
+        program.signal("HUP");
+        program.awaitLog("configuration: kept as it was");
+        program.moveDiscovery();
+        program.signal("HUP");
+        assertTrue(watch.closed());
+        program.watch(list(2, false));
+        program.awaitLog("discovery: list 2");
+        Exchange client = send("t1", "");
+        a.accept().answer("done").end();
+        assertEquals(client.status(), 200);
+    }
+
+    @Test
+    public void aHangUpDuringAPlannedEndDoesNotDisturbIt() throws Exception {
+        start(a);
+        Exchange client = send("t1", "");
+        Exchange peer = a.accept().answer("started");
+        program.signal("TERM");
+        program.awaitLog("phase: DRAINING");
+        program.moveDiscovery();
+        program.signal("HUP");
+        program.watch(list(2, false));
+        peer.lines("{\"id\":\"t1\",\"from\":\"p\",\"state\":\"done\",\"result\":\"made\"}").end();
+        assertEquals(client.status(), 200);
+        assertTrue(program.process.waitFor(RealProgram.PATIENCE_S, TimeUnit.SECONDS));
+        assertEquals(program.process.exitValue(), 0);
+    }
+
     /** The peer would close this connection: a request must not meet that. */
     @Test
     public void anIdleConnectionIsClosedBeforeThePeerCloses() throws Exception {
