Client connections have time limits, and the one missed least makes room for a new one

Descriptors stood at 257 of 384 and CPU below its limit, so neither was the cause. At fault: ClientConnection had no timers; Loop.accepted closed only connections that had been used; RESERVED and OVERFLOW took 96 of the descriptors; nothing compared ids. Now: core.Clients keeps each connection's state and timer in the reducer and picks what is closed for want of room; requests past a bound are rejected before the module hears of them; the id of an open request is a 409; heads that a peer might read otherwise are 4xx (Jetty's STRICT rules, fields of ours once, text only, malformed chunks, which the parser reports as earlyEOF). A widened buffer lets a client's leaving be seen behind what it sent ahead. Pipelined requests that are answered at once no longer nest. Timers are taken back once their request or try is over. A pool without room is told to the module as MOOT, which does not count against the peer. At most 8 clients are taken in a round. Checked: new tests, in the process for what shows on sockets and on the reducer for order and timers.

--- /dev/null
+++ b/src/main/java/granitefold/core/Clients.java
@@ -0,0 +1,148 @@
+package granitefold.core;
+
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The bookkeeping of client connections: how long each may take over what it does, and which one goes where there is
+ * no room for another. Without it those that say nothing, or never come to an end, keep usual clients out.
+ */
+final class Clients {
+    /** A whole request must have come so long after its connection, or after its own first byte on a kept one. */
+    static final long REQUEST_US = 2_000_000;
+    /** How long an answer may take to write to a client that does not read it. */
+    static final long WRITE_US = 2_000_000;
+    /** How long a client that was told to close may take to read that, while what it sends is thrown away. */
+    static final long LINGER_US = 500_000;
+    /** A new connection brings its request at once; one silent for longer makes room for others. */
+    static final long SILENT_US = 200_000;
+
+    private enum State {
+        /** Its first request, or a begun one, is still to come to its end. */
+        READING,
+        OWED,
+        WRITING,
+        IDLE,
+        /** It has its answer and was told to close. */
+        LINGERING,
+        /** We have closed it, and will hear so. */
+        CLOSING
+    }
+
+    private static final class Place {
+        final long client;
+        State state;
+        long since;
+        Timers.Timer timer;
+
+        Place(long client) {
+            this.client = client;
+        }
+    }
+
+    private final Map<Long, Place> places = new HashMap<>();
+    /** The places in each state, the longest there first. */
+    private final Map<State, LinkedHashMap<Long, Place>> in = new EnumMap<>(State.class);
+    private final int most;
+    private final Timers timers;
+    private final List<Effect> effects;
+
+    Clients(int most, Timers timers, List<Effect> effects) {
+        this.most = most;
+        this.timers = timers;
+        this.effects = effects;
+        for (State s : State.values()) {
+            in.put(s, new LinkedHashMap<>());
+        }
+    }
+
+    void opened(long client, long now) {
+        if (places.size() - in.get(State.CLOSING).size() >= most) {
+            makeRoom(now);
+        }
+        Place p = new Place(client);
+        places.put(client, p);
+        move(p, State.READING, now);
+    }
+
+    /** The first bytes of another request have come. */
+    void begun(long client, long now) {
+        move(places.get(client), State.READING, now);
+    }
+
+    /** A whole request has come. */
+    void arrived(long client, long now) {
+        move(places.get(client), State.OWED, now);
+    }
+
+    void answering(long client, long now) {
+        move(places.get(client), State.WRITING, now);
+    }
+
+    /** An answer is out; it was the {@code last} one if the client was told to close. */
+    void written(long client, boolean last, long now) {
+        move(places.get(client), last ? State.LINGERING : State.IDLE, now);
+    }
+
+    void closed(long client) {
+        Place p = places.remove(client);
+        if (p != null) {
+            timers.cancel(p.timer);
+            in.get(p.state).remove(client);
+        }
+    }
+
+    private void move(Place p, State to, long now) {
+        if (p == null) {
+            return;
+        }
+        timers.cancel(p.timer);
+        if (p.state != null) {
+            in.get(p.state).remove(p.client);
+        }
+        p.state = to;
+        p.since = now;
+        in.get(to).put(p.client, p);
+        p.timer = switch (to) {
+            case READING -> timers.at(now + REQUEST_US, t -> effects.add(new Effect.TimeOutClient(p.client)));
+            case WRITING -> timers.at(now + WRITE_US, t -> close(p, t));
+            case LINGERING -> timers.at(now + LINGER_US, t -> close(p, t));
+            default -> null;
+        };
+    }
+
+    private void close(Place p, long now) {
+        move(p, State.CLOSING, now);
+        effects.add(new Effect.CloseClient(p.client));
+    }
+
+    /**
+     * Closes the connection that is missed least: one that has its last answer, then one that has long been silent,
+     * then the one idle for longest, which costs its client a new connection, then the longest silent at all.
+     */
+    private void makeRoom(long now) {
+        Place silent = first(State.READING);
+        Place goes = first(State.LINGERING);
+        if (goes == null && silent != null && now - silent.since >= SILENT_US) {
+            goes = silent;
+        }
+        if (goes == null) {
+            goes = first(State.IDLE);
+        }
+        if (goes == null) {
+            goes = silent;
+        }
+        if (goes != null) {
+            close(goes, now);
+        }
+    }
+
+    private Place first(State state) {
+        Iterator<Place> i = in.get(state).values().iterator();
+        return i.hasNext() ? i.next() : null;
+    }
+}
--- a/src/main/java/granitefold/core/Effect.java
+++ b/src/main/java/granitefold/core/Effect.java
@@ -6,6 +6,12 @@
     /** Give a client connection its final answer; {@code close} it after that. */
     record Answer(long client, FinalAnswer answer, boolean close) implements Effect { }
 
+    /** A client has taken too long over its request: tell it so, if it has sent any of it, and close. */
+    record TimeOutClient(long client) implements Effect { }
+
+    /** Close a client connection, unless a request of it turns out to have come whole. */
+    record CloseClient(long client) implements Effect { }
+
     /** Open a connection to a peer; the core numbers it. */
     record Connect(long connection, String address) implements Effect { }
 
--- a/src/main/java/granitefold/core/Event.java
+++ b/src/main/java/granitefold/core/Event.java
@@ -6,11 +6,23 @@
     /** The sockets are open: {@code known} is the list of a former life, maybe old. */
     record Opened(PeerList known, String discovery) implements Event { }
 
+    /** A client has connected. */
+    record ClientOpened(long client) implements Event { }
+
+    /** On a client connection that was kept, a next request has begun to come. */
+    record RequestBegun(long client) implements Event { }
+
     /** A client connection has brought a whole request. */
     record RequestArrived(long client, Submission submission) implements Event { }
 
-    /** A client connection with an unanswered request is gone. */
-    record ClientGone(long client) implements Event { }
+    /** A client connection has brought something that needs no decision, and the adapter is answering it. */
+    record AnsweredHere(long client) implements Event { }
+
+    /** An answer is out; {@code last}: the client was told to close. */
+    record AnswerWritten(long client, boolean last) implements Event { }
+
+    /** A client connection is gone, whoever ended it. */
+    record ClientClosed(long client) implements Event { }
 
     /** A peer connection is up. */
     record PeerConnected(long connection) implements Event { }
--- a/src/main/java/granitefold/core/FinalAnswer.java
+++ b/src/main/java/granitefold/core/FinalAnswer.java
@@ -12,6 +12,9 @@
         public static final Rejected BY_LIMIT = new Rejected(1_000_000);
     }
 
+    /** Not taken in: its id is that of a request that is still open. */
+    record Duplicate() implements FinalAnswer { }
+
     /** Failed; promises nothing. {@code late}: the client's time ran out. */
     record Failed(boolean late) implements FinalAnswer { }
 }
--- a/src/main/java/granitefold/core/Peer.java
+++ b/src/main/java/granitefold/core/Peer.java
@@ -16,6 +16,8 @@
     final long id;
     String address;
     State state;
+    /** Connections that are open, whatever their state. */
+    int open;
     /** Idle connections, the last one used first. */
     final ArrayDeque<PeerConnection> idle = new ArrayDeque<>();
 
--- a/src/main/java/granitefold/core/PeerConnection.java
+++ b/src/main/java/granitefold/core/PeerConnection.java
@@ -20,8 +20,8 @@
     State state = State.CONNECTING;
     /** The try that is out on it, or null. */
     Try carries;
-    /** The try that ended on it last. */
-    Try settled;
+    /** Ends the wait for the end of an answer. */
+    Timers.Timer timer;
     long idleSince;
 
     PeerConnection(long id, Peer peer) {
--- a/src/main/java/granitefold/core/Pool.java
+++ b/src/main/java/granitefold/core/Pool.java
@@ -1,7 +1,8 @@
 package granitefold.core;
 
 import java.util.Collection;
-import java.util.LinkedHashMap;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 
@@ -10,15 +11,20 @@
     /** A peer closes an idle connection after a told time; ours goes by this share of it, lest a request meet that. */
     private static final double IDLE_SHARE = 0.7;
 
-    private final Map<Long, PeerConnection> open = new LinkedHashMap<>();
+    private final Map<Long, PeerConnection> open = new HashMap<>();
+    /** Connections without a try, the longest idle first, and those that only wait for the end of an answer. */
+    private final LinkedHashSet<PeerConnection> idle = new LinkedHashSet<>();
+    private final LinkedHashSet<PeerConnection> settled = new LinkedHashSet<>();
     private final int most;
     private final long idleUs;
+    private final Timers timers;
     private final List<Effect> effects;
     private long number;
 
-    Pool(int most, long idleCloseUs, List<Effect> effects) {
+    Pool(int most, long idleCloseUs, Timers timers, List<Effect> effects) {
         this.most = most;
         idleUs = (long) (idleCloseUs * IDLE_SHARE);
+        this.timers = timers;
         this.effects = effects;
     }
 
@@ -29,16 +35,21 @@
     /** An idle connection to the peer that is fresh enough for a request, or null. */
     PeerConnection takeIdle(Peer peer, long now) {
         PeerConnection c = peer.idle.peekFirst();
-        return c != null && now - c.idleSince < idleUs ? peer.idle.removeFirst() : null;
+        if (c == null || now - c.idleSince >= idleUs) {
+            return null;
+        }
+        idle.remove(c);
+        return peer.idle.removeFirst();
     }
 
     /** A new connection, or null where as many are open as the limits allow. */
     PeerConnection connect(Peer peer) {
-        if (open.size() >= most && !closeLongestIdle()) {
+        if (open.size() >= most && !makeRoom()) {
             return null;
         }
         PeerConnection c = new PeerConnection(number++, peer);
         open.put(c.id, c);
+        peer.open++;
         effects.add(new Effect.Connect(c.id, c.address));
         return c;
     }
@@ -47,7 +58,21 @@
     void release(PeerConnection c, long now) {
         c.state = PeerConnection.State.IDLE;
         c.idleSince = now;
+        unsettle(c);
         c.peer.idle.addFirst(c);
+        idle.add(c);
+    }
+
+    /** Its try has ended, the end of the answer is awaited for so long: a peer must not keep it for good. */
+    void settle(PeerConnection c, long until) {
+        c.state = PeerConnection.State.SETTLED;
+        settled.add(c);
+        c.timer = timers.at(until, t -> close(c));
+    }
+
+    private void unsettle(PeerConnection c) {
+        timers.cancel(c.timer);
+        settled.remove(c);
     }
 
     void close(PeerConnection c) {
@@ -57,13 +82,13 @@
 
     /** The connection is closed already. */
     void forget(PeerConnection c) {
-        open.remove(c.id);
-        c.peer.idle.remove(c);
-    }
-
-    /** Whether any connection to the peer is open. */
-    boolean reaches(Peer peer) {
-        return open.values().stream().anyMatch(c -> c.peer == peer);
+        if (open.remove(c.id) != null) {
+            c.peer.open--;
+            unsettle(c);
+            if (idle.remove(c)) {
+                c.peer.idle.remove(c);
+            }
+        }
     }
 
     void closeIdle(Peer peer) {
@@ -81,16 +106,13 @@
         }
     }
 
-    private boolean closeLongestIdle() {
-        PeerConnection oldest = null;
-        for (PeerConnection c : open.values()) {
-            if (c.state == PeerConnection.State.IDLE && (oldest == null || c.idleSince < oldest.idleSince)) {
-                oldest = c;
-            }
-        }
-        if (oldest != null) {
-            close(oldest);
+    /** Closes the longest idle connection, or else one whose try is over; false if all carry tries. */
+    private boolean makeRoom() {
+        LinkedHashSet<PeerConnection> from = idle.isEmpty() ? settled : idle;
+        if (from.isEmpty()) {
+            return false;
         }
-        return oldest != null;
+        close(from.iterator().next());
+        return true;
     }
 }
--- a/src/main/java/granitefold/core/Reducer.java
+++ b/src/main/java/granitefold/core/Reducer.java
@@ -9,10 +9,13 @@
 import granitefold.Dispatcher.Worker;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.LongConsumer;
 
 /**
@@ -33,14 +36,17 @@
     /** How long the end of an answer may follow its last line. */
     private static final long SETTLE_US = 1_000_000;
 
-    private final long connectTimeoutUs;
+    private final Bounds bounds;
     private final Timers timers = new Timers();
     private final List<Effect> effects = new ArrayList<>();
     private final Pool pool;
+    private final Clients clients;
     private final Dispatcher module;
     private final Map<Long, Peer> peers = new LinkedHashMap<>();
     private final Map<Long, RequestContext> contexts = new HashMap<>();
     private final Map<Long, RequestContext> owed = new LinkedHashMap<>();
+    /** The names that clients gave to the requests in {@link #contexts}. */
+    private final Set<String> names = new HashSet<>();
     /** Outcomes of tries that ended within a call of the module, which is told once that call is over. */
     private final ArrayDeque<Runnable> afterwards = new ArrayDeque<>();
     private Watch watch;
@@ -50,11 +56,13 @@
     private long now;
 
     /** The limits that the settings for the module don't carry. */
-    public record Bounds(int peerConnections, long connectTimeoutUs, long idleCloseUs) { }
+    public record Bounds(int clientConnections, int requests, int peerConnections, long connectTimeoutUs,
+            long idleCloseUs) { }
 
     public Reducer(Settings settings, Bounds bounds, long seed) {
-        connectTimeoutUs = bounds.connectTimeoutUs();
-        pool = new Pool(bounds.peerConnections(), bounds.idleCloseUs(), effects);
+        this.bounds = bounds;
+        pool = new Pool(bounds.peerConnections(), bounds.idleCloseUs(), timers, effects);
+        clients = new Clients(bounds.clientConnections(), timers, effects);
         module = new Decide(settings, seed, new Sink());
     }
 
@@ -62,7 +70,7 @@
         return phase;
     }
 
-    /** Takes one event in; returns the effects it asks for, in order. */
+    /** Takes one event in; returns the effects it asks for, in order, in a list that stands until the next call. */
     public List<Effect> reduce(Event event, long time) {
         now = Math.max(now, time);
         effects.clear();
@@ -80,7 +88,7 @@
             wakeAt = timers.next();
             effects.add(new Effect.WakeAt(wakeAt));
         }
-        return List.copyOf(effects);
+        return Collections.unmodifiableList(effects);
     }
 
     private void settle() {
@@ -92,9 +100,19 @@
     private void handle(Event event) {
         if (event instanceof Event.Opened e) {
             opened(e.known(), e.discovery());
+        } else if (event instanceof Event.ClientOpened e) {
+            clients.opened(e.client(), now);
+        } else if (event instanceof Event.RequestBegun e) {
+            clients.begun(e.client(), now);
         } else if (event instanceof Event.RequestArrived e) {
+            clients.arrived(e.client(), now);
             requestArrived(e.client(), e.submission());
-        } else if (event instanceof Event.ClientGone e) {
+        } else if (event instanceof Event.AnsweredHere e) {
+            clients.answering(e.client(), now);
+        } else if (event instanceof Event.AnswerWritten e) {
+            clients.written(e.client(), e.last(), now);
+        } else if (event instanceof Event.ClientClosed e) {
+            clients.closed(e.client());
             clientGone(e.client());
         } else if (event instanceof Event.PeerConnected e) {
             peerConnected(pool.get(e.connection()));
@@ -169,15 +187,22 @@
 
     // ---------------------------------------------------------------- request contexts
     private void requestArrived(long client, Submission s) {
+        if (owed.size() >= bounds.requests()) {
+            reply(client, FinalAnswer.Rejected.BY_LIMIT);
+            return;
+        }
+        if (!names.add(s.name())) {
+            // an answer or a cancel for one of the two would be taken for the other's
+            reply(client, new FinalAnswer.Duplicate());
+            return;
+        }
         RequestContext c = new RequestContext(++lastId, client, s, now + s.remainingUs(),
                 now + Math.max(0, s.remainingUs() - ANSWER_US));
         contexts.put(c.id, c);
         owed.put(client, c);
-        timers.at(c.deadline - ANSWER_US / 4, t -> {
+        c.timer = timers.at(c.deadline - ANSWER_US / 4, t -> {
             // the module has answered long before; whatever keeps it, the client gets its answer
-            if (!c.over) {
-                giveUp(c);
-            }
+            giveUp(c);
         });
         module.requested(now, new Dispatcher.Request(c.id, s.jobClass(), s.tenant(), c.moduleDeadline - now,
                 s.workUs(), s.slots(), s.memory(), s.key()));
@@ -186,25 +211,34 @@
     private void clientGone(long client) {
         RequestContext c = owed.remove(client);
         if (c != null) {
-            c.over = true;
+            over(c);
             module.expired(now, c.id);
             forget(c);
         }
     }
 
     private void answer(RequestContext c, FinalAnswer answer) {
+        over(c);
+        reply(c.client, answer);
+    }
+
+    private void over(RequestContext c) {
         c.over = true;
+        timers.cancel(c.timer);
         owed.remove(c.client);
-        effects.add(new Effect.Answer(c.client, answer, phase.compareTo(Phase.DRAINING) >= 0));
+    }
+
+    private void reply(long client, FinalAnswer answer) {
+        clients.answering(client, now);
+        effects.add(new Effect.Answer(client, answer, phase.compareTo(Phase.DRAINING) >= 0));
     }
 
     /** Ends a context without the module: a reject where nothing ran, else failed. */
     private void giveUp(RequestContext c) {
         for (Try t : c.tries) {
             if (t.outcome == null) {
+                t.outcome = t.connection.state == PeerConnection.State.WAITING ? Outcome.CANCELLED : Outcome.MOOT;
                 drop(t);
-                t.outcome = t.connection.state == PeerConnection.State.CONNECTING ? Outcome.UNREACHABLE
-                        : Outcome.CANCELLED;
                 module.ended(now, c.id, t.number, true, t.outcome, null);
             }
         }
@@ -215,9 +249,9 @@
 
     private void forget(RequestContext c) {
         if (c.over && c.tries.stream().allMatch(t -> t.outcome != null)) {
-            contexts.remove(c.id);
-            // its timers outlive it by seconds; the body must not
-            c.submission = null;
+            if (contexts.remove(c.id) != null) {
+                names.remove(c.submission.name());
+            }
         }
     }
 
@@ -229,29 +263,27 @@
         PeerConnection idle = pool.takeIdle(peer, now);
         t.connection = idle != null ? idle : pool.connect(peer);
         if (t.connection == null) {
-            endAfterwards(t, Outcome.UNREACHABLE);
+            // want of room here says nothing of the peer
+            endAfterwards(t, Outcome.MOOT);
             return;
         }
         t.connection.carries = t;
-        timers.at(expiresAt, at -> {
-            if (t.outcome == null) {
-                drop(t);
-                end(t, Outcome.TIMED_OUT);
-            }
-        });
         if (idle != null) {
             write(t);
         } else {
-            timers.at(now + connectTimeoutUs, at -> {
-                if (t.outcome == null && t.connection.state == PeerConnection.State.CONNECTING) {
-                    drop(t);
-                    end(t, Outcome.UNREACHABLE);
-                }
+            t.timer = timers.at(Math.min(expiresAt, now + bounds.connectTimeoutUs()), at -> {
+                drop(t);
+                end(t, at < expiresAt ? Outcome.UNREACHABLE : Outcome.MOOT);
             });
         }
     }
 
     private void write(Try t) {
+        timers.cancel(t.timer);
+        t.timer = timers.at(t.expiresAt, at -> {
+            drop(t);
+            end(t, Outcome.TIMED_OUT);
+        });
         t.connection.state = PeerConnection.State.SENDING;
         effects.add(new Effect.SendRequest(t.connection.id, t.context.submission.payload(), t.expiresAt - now));
     }
@@ -281,14 +313,7 @@
             module.progressed(now, t.context.id, t.number, p.share());
         } else {
             c.carries = null;
-            c.state = PeerConnection.State.SETTLED;
-            // a peer that never ends its answer must not keep the connection from others for good
-            timers.at(now + SETTLE_US, at -> {
-                if (c.settled == t && c.state == PeerConnection.State.SETTLED && pool.get(c.id) == c) {
-                    pool.close(c);
-                }
-            });
-            c.settled = t;
+            pool.settle(c, now + SETTLE_US);
             if (news instanceof TryNews.Served s) {
                 if (!t.context.over) {
                     answer(t.context, new FinalAnswer.Served(s.result()));
@@ -331,11 +356,13 @@
 
     /** Stops waiting for a try: its connection closes at once, before anything else can be sent. */
     private void drop(Try t) {
+        timers.cancel(t.timer);
         t.connection.carries = null;
         pool.close(t.connection);
     }
 
     private void end(Try t, Outcome outcome) {
+        timers.cancel(t.timer);
         t.outcome = outcome;
         module.ended(now, t.context.id, t.number, t.context.over, outcome, null);
         forget(t.context);
@@ -362,7 +389,7 @@
             workers.add(new Worker(p.id, e.weight(), e.state(), e.startedAtUs(), e.zone(), e.cell(), e.kind()));
         }
         peers.values().stream().filter(p -> p.state != State.READY).forEach(pool::closeIdle);
-        peers.values().removeIf(p -> p.state == State.GONE && !pool.reaches(p));
+        peers.values().removeIf(p -> p.state == State.GONE && p.open == 0);
         module.listed(now, news, workers);
         effects.add(new Effect.Log("discovery: list " + list.version() + " " + news + ", "
                 + peers.values().stream().filter(p -> p.state == State.READY).count() + " peers up"));
--- a/src/main/java/granitefold/core/RequestContext.java
+++ b/src/main/java/granitefold/core/RequestContext.java
@@ -8,12 +8,13 @@
     /** The module's id of it: our own count, since those ids are bounded and never repeat. */
     final long id;
     final long client;
-    /** Null once it is over and no try is out. */
-    Submission submission;
+    final Submission submission;
     /** When the client gives up, and the earlier time by which the module and its tries are to be done. */
     final long deadline;
     final long moduleDeadline;
     final List<Try> tries = new ArrayList<>(2);
+    /** Answers it shortly before its deadline, whatever keeps the module. */
+    Timers.Timer timer;
     boolean over;
 
     RequestContext(long id, long client, Submission submission, long deadline, long moduleDeadline) {
--- a/src/main/java/granitefold/core/Timers.java
+++ b/src/main/java/granitefold/core/Timers.java
@@ -1,28 +1,41 @@
 package granitefold.core;
 
 import java.util.Comparator;
-import java.util.PriorityQueue;
+import java.util.TreeSet;
 import java.util.function.LongConsumer;
 
-/** Timers in the order in which they fall due; one that is no longer needed runs out unheeded. */
+/** Timers in the order in which they fall due. */
 final class Timers {
-    private final PriorityQueue<Timer> queue = new PriorityQueue<>(
+    private final TreeSet<Timer> queue = new TreeSet<>(
             Comparator.comparingLong(Timer::at).thenComparingLong(Timer::number));
     private long number;
 
-    private record Timer(long at, long number, LongConsumer then) { }
+    record Timer(long at, long number, LongConsumer then) { }
 
-    void at(long at, LongConsumer then) {
-        queue.add(new Timer(at, number++, then));
+    Timer at(long at, LongConsumer then) {
+        Timer timer = new Timer(at, number++, then);
+        queue.add(timer);
+        return timer;
+    }
+
+    /** Takes a timer back, so that it keeps nothing in memory; null and one that has run out are ignored. */
+    void cancel(Timer timer) {
+        if (timer != null) {
+            queue.remove(timer);
+        }
     }
 
     /** The next that is due by now, taken out, or null. */
     LongConsumer due(long now) {
-        return !queue.isEmpty() && queue.peek().at() <= now ? queue.remove().then() : null;
+        return !queue.isEmpty() && queue.first().at() <= now ? queue.pollFirst().then() : null;
     }
 
     /** When the next one falls due. */
     long next() {
-        return queue.isEmpty() ? Long.MAX_VALUE : queue.peek().at();
+        return queue.isEmpty() ? Long.MAX_VALUE : queue.first().at();
+    }
+
+    int size() {
+        return queue.size();
     }
 }
--- a/src/main/java/granitefold/core/Try.java
+++ b/src/main/java/granitefold/core/Try.java
@@ -10,6 +10,8 @@
     /** When the dispatcher stops waiting for it. */
     final long expiresAt;
     PeerConnection connection;
+    /** Ends the wait for its connection, then that for its outcome. */
+    Timers.Timer timer;
     /** Null while it is out. */
     Outcome outcome;
 
--- a/src/main/java/granitefold/net/ClientConnection.java
+++ b/src/main/java/granitefold/net/ClientConnection.java
@@ -11,6 +11,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import org.eclipse.jetty.http.HttpCompliance;
 import org.eclipse.jetty.http.HttpException;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
@@ -24,6 +25,8 @@
 /** A client's side: reads one request at a time, and while that is unanswered watches for the client to leave. */
 final class ClientConnection extends LoopConnection implements HttpParser.RequestHandler {
     private static final int BUFFER = 4096, HEAD_MOST = 8192;
+    /** So much is read after the last answer: without it a polite client's answer would be lost in the reset. */
+    private static final int LINGER_MOST = 4 * ClientRequest.BODY_MOST;
     private static final ByteBuffer CONTINUE =
             ByteBuffer.wrap("HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII)).asReadOnlyBuffer();
 
@@ -38,26 +41,28 @@
 
     private final Loop loop;
     private final long id;
-    private final boolean overflow;
-    private final HttpParser parser = new HttpParser(this, HEAD_MOST);
-    private final ByteBuffer in = BufferUtil.allocate(BUFFER);
+    private final HttpParser parser = new HttpParser(this, HEAD_MOST, HttpCompliance.STRICT);
+    private ByteBuffer in = BufferUtil.allocate(BUFFER);
     private State state = State.READING;
+    private boolean advancing;
     private boolean complete;
     private boolean close;
-    private boolean used;
+    /** A next request on this connection has begun to come, and the reducer knows. */
+    private boolean begun = true;
     private String method;
     private String target;
     private HttpFields.Mutable head;
     private ByteArrayOutputStream body;
     private BadRequest bad;
-    /** Bytes of body that count as held for this request. */
+    /** Bytes of body that count as held for this request; a widened buffer counts beside. */
     private int held;
+    /** Bytes thrown away after the last answer. */
+    private int discarded;
 
-    ClientConnection(EndPoint endPoint, Loop loop, long id, boolean overflow) {
+    ClientConnection(EndPoint endPoint, Loop loop, long id) {
         super(endPoint);
         this.loop = loop;
         this.id = id;
-        this.overflow = overflow;
     }
 
     long id() {
@@ -72,11 +77,6 @@
         return state == State.WRITING;
     }
 
-    /** Nothing is owed here and no request has begun to come. */
-    boolean idle() {
-        return state == State.LINGERING || state == State.READING && used && parser.isStart() && !in.hasRemaining();
-    }
-
     @Override
     public void onFillable() {
         advance();
@@ -93,48 +93,84 @@
         gone();
     }
 
-    /** Reads and parses as far as it goes. */
+    /** Reads and parses as far as it goes. What ends in an answer at once comes back here, but not deeper. */
     private void advance() {
+        if (advancing) {
+            return;
+        }
+        advancing = true;
         try {
-            while (getEndPoint().isOpen()) {
-                if (state == State.READING && in.hasRemaining()) {
-                    parser.parseNext(in);
-                    if (complete || bad != null) {
-                        received();
-                    }
-                    continue;
-                }
-                if (state == State.LINGERING) {
-                    BufferUtil.clear(in);
-                } else if (BufferUtil.isFull(in)) {
-                    // so much of a next request that we stop reading until this one is answered
-                    return;
-                }
-                int n = getEndPoint().fill(in);
-                if (n < 0) {
-                    gone();
-                    return;
-                }
-                if (n == 0) {
-                    awaitReadable();
-                    return;
-                }
-            }
+            while (getEndPoint().isOpen() && step()) { }
         } catch (IOException e) {
             gone();
+        } finally {
+            advancing = false;
+        }
+    }
+
+    private boolean step() throws IOException {
+        if (state == State.READING && in.hasRemaining()) {
+            parser.parseNext(in);
+            if (complete || bad != null) {
+                received();
+            }
+            return true;
+        }
+        if (state == State.LINGERING) {
+            discarded += in.remaining();
+            BufferUtil.clear(in);
+            if (discarded > LINGER_MOST) {
+                close();
+                return false;
+            }
+        } else if (BufferUtil.isFull(in) && !widen()) {
+            // so much of next requests that we stop reading until this one is answered
+            return false;
+        }
+        int n = getEndPoint().fill(in);
+        if (n < 0) {
+            gone();
+        } else if (n == 0) {
+            if (state == State.READING && !begun && !parser.isStart()) {
+                begun = true;
+                loop.post(new Event.RequestBegun(id));
+            }
+            awaitReadable();
+        }
+        return n > 0;
+    }
+
+    /** Makes room to read on while a request is unanswered: only by reading is a client's leaving seen. */
+    private boolean widen() {
+        int more = in.capacity();
+        if (more > ClientRequest.BODY_MOST || !loop.hold(more)) {
+            return false;
+        }
+        resize(2 * more);
+        return true;
+    }
+
+    private void narrow() {
+        if (in.capacity() > BUFFER && in.remaining() <= BUFFER) {
+            loop.hold(BUFFER - in.capacity());
+            resize(BUFFER);
         }
     }
 
-    /** The client has closed, or its connection broke. */
+    private void resize(int capacity) {
+        ByteBuffer other = BufferUtil.allocate(capacity);
+        BufferUtil.append(other, in);
+        in = other;
+    }
+
+    /** The client has closed, or its connection broke, or we close it. */
     private void gone() {
-        boolean owed = state == State.OWED;
         release();
+        BufferUtil.clear(in);
+        narrow();
         state = State.LINGERING;
         loop.closed(this);
         close();
-        if (owed) {
-            loop.post(new Event.ClientGone(id));
-        }
         loop.answered();
     }
 
@@ -146,18 +182,12 @@
     /** A request is whole, or as much of it as shows that it is bad. */
     private void received() {
         state = State.OWED;
-        used = true;
-        loop.used(this);
         complete = false;
         if (bad == null && target.equals("/healthz")) {
             boolean ready = loop.phase() == Phase.SERVING;
-            answer(HttpMessages.plain(ready ? 200 : 503, loop.phase().name(), close), close);
+            answerHere(HttpMessages.plain(ready ? 200 : 503, loop.phase().name(), close), close);
             return;
         }
-        if (bad == null && overflow) {
-            // no room is left for more clients: nothing ran, so trying elsewhere does no harm
-            bad = new BadRequest(503, "too many connections");
-        }
         try {
             if (bad != null) {
                 throw bad;
@@ -166,13 +196,17 @@
             body = null;
             loop.post(new Event.RequestArrived(id, s));
         } catch (BadRequest e) {
-            // where the request was not read to its end, what follows can't be told from a next one
-            boolean last = close || bad != null;
-            answer(e.status() == 503 ? HttpMessages.answer(FinalAnswer.Rejected.BY_LIMIT, last)
-                    : HttpMessages.plain(e.status(), e.getMessage(), last), last);
+            // what follows may not be what it looks like either: the connection ends
+            answerHere(e.status() == 503 ? HttpMessages.answer(FinalAnswer.Rejected.BY_LIMIT, true)
+                    : HttpMessages.plain(e.status(), e.getMessage(), true), true);
         }
     }
 
+    private void answerHere(ByteBuffer[] message, boolean last) {
+        loop.post(new Event.AnsweredHere(id));
+        answer(message, last);
+    }
+
     /** Writes an answer; after it the connection reads on or ends. */
     void answer(ByteBuffer[] message, boolean last) {
         boolean end = last || close;
@@ -187,22 +221,44 @@
             getEndPoint().shutdownOutput();
         } else {
             state = State.READING;
+            begun = false;
             parser.reset();
+            narrow();
         }
+        loop.post(new Event.AnswerWritten(id, end));
         loop.answered();
         advance();
     }
 
-    void closeIfIdle() {
-        if (idle() || !used && !in.hasRemaining() && parser.isStart()) {
-            // a request that is just coming in is read first
-            advance();
-            if (state == State.READING && parser.isStart()) {
+    /** The time for a request is over. */
+    void timeOut() {
+        advance();
+        if (state == State.READING) {
+            if (parser.isStart()) {
                 close();
+            } else {
+                bad = new BadRequest(408, "the request did not come to its end");
+                received();
             }
         }
     }
 
+    /** Closes, but for a request that turns out to have come whole: that is read first. */
+    void closeUnlessOwed() {
+        advance();
+        if (state != State.OWED) {
+            close();
+        }
+    }
+
+    /** Closes where nothing is owed and no request has begun to come. */
+    void closeIfIdle() {
+        advance();
+        if (state == State.READING && parser.isStart()) {
+            close();
+        }
+    }
+
     // ---------------------------------------------------------------- what the parser finds
     @Override
     public void startRequest(String method, String uri, HttpVersion version) {
@@ -273,6 +329,7 @@
 
     @Override
     public void earlyEOF() {
-        // the read that found it ends the connection
+        // so the parser calls what is malformed behind the head
+        bad = new BadRequest(400, "malformed body");
     }
 }
--- a/src/main/java/granitefold/net/Loop.java
+++ b/src/main/java/granitefold/net/Loop.java
@@ -17,7 +17,6 @@
 import java.nio.file.Path;
 import java.util.ArrayDeque;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -33,22 +32,25 @@
 public final class Loop {
     private static final Logger LOG = LoggerFactory.getLogger("granitefold");
     private static final int BACKLOG = 1024;
-    /** Descriptors kept for files, the selector, the listener, the watch and datagrams. */
-    private static final int RESERVED = 64;
-    /** Client connections past their bound that are still told so before they are closed. */
-    private static final int OVERFLOW = 32;
-    /** Bytes of requests' bodies held at once: with their copies on the way, well within the heap. */
-    private static final int HELD_MOST = 16 * 1024 * 1024;
+    /**
+     * Descriptors kept for files, the selector, the listener, the watch and datagrams (about 20), for a round of new
+     * clients that is still to be counted, and for what is closed already but held until the next select.
+     */
+    private static final int RESERVED = 48;
+    /** Client connections that may be open beside those that are owed an answer. */
+    private static final int SPARE = 16;
+    /** Bytes of requests held at once, as a share of the heap: with their copies on the way, well within it. */
+    private static final long HELD_SHARE = 5;
 
     private final Config config;
     private final Clock clock = new Clock();
     private final Sockets sockets = new Sockets(this);
     private final Reducer reducer;
     private final ArrayDeque<Event> events = new ArrayDeque<>();
-    private final Map<Long, ClientConnection> clients = new LinkedHashMap<>();
+    private final Map<Long, ClientConnection> clients = new HashMap<>();
     private final Map<Long, PeerLink> peers = new HashMap<>();
     private final CountDownLatch stopped = new CountDownLatch(1);
-    private final int mostClients;
+    private final long heldMost = Runtime.getRuntime().maxMemory() / HELD_SHARE;
     private ServerSocketChannel listener;
     private SiblingConnection siblings;
     private WatchLink watch;
@@ -56,13 +58,13 @@
     private boolean stopping;
     private long wakeAt = Long.MAX_VALUE;
     private long lastClient;
-    private int heldBytes;
+    private long heldBytes;
 
     public Loop(Config config) {
         this.config = config;
         // a request holds a connection on either side
-        mostClients = Math.max(1, (config.sockets() - RESERVED) / 2 - OVERFLOW);
-        reducer = new Reducer(config.words().settings(), new Reducer.Bounds((config.sockets() - RESERVED) / 2,
+        int each = Math.max(SPARE + 1, (config.sockets() - RESERVED) / 2);
+        reducer = new Reducer(config.words().settings(), new Reducer.Bounds(each, each - SPARE, each,
                 config.connectTimeoutUs(), config.idleCloseUs()), config.seed());
     }
 
@@ -79,7 +81,7 @@
                 openSiblings();
             }
             post(new Event.Opened(config.known(), Address.text(config.discovery())));
-            sockets.acceptor(listener);
+            sockets.listen(listener);
         });
     }
 
@@ -169,6 +171,16 @@
             if (client != null) {
                 client.answer(HttpMessages.answer(e.answer(), e.close() || client.wantsClose()), e.close());
             }
+        } else if (effect instanceof Effect.TimeOutClient e) {
+            ClientConnection client = clients.get(e.client());
+            if (client != null) {
+                client.timeOut();
+            }
+        } else if (effect instanceof Effect.CloseClient e) {
+            ClientConnection client = clients.get(e.client());
+            if (client != null) {
+                client.closeUnlessOwed();
+            }
         } else if (effect instanceof Effect.Connect e) {
             PeerLink link = new PeerLink(this, e.connection(), e.address());
             peers.put(e.connection(), link);
@@ -231,20 +243,13 @@
     void accepted(SocketChannel channel) throws IOException {
         channel.configureBlocking(false);
         channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
-        if (clients.size() >= mostClients) {
-            clients.values().stream().filter(ClientConnection::idle).findFirst().ifPresent(ClientConnection::close);
-        }
-        if (clients.size() >= mostClients + OVERFLOW) {
-            channel.close();
-            return;
-        }
         long id = ++lastClient;
-        boolean overflow = clients.size() >= mostClients;
         sockets.accept(channel, new Sockets.Opening() {
             @Override
             public Connection opened(EndPoint endPoint) {
-                ClientConnection client = new ClientConnection(endPoint, Loop.this, id, overflow);
+                ClientConnection client = new ClientConnection(endPoint, Loop.this, id);
                 clients.put(id, client);
+                post(new Event.ClientOpened(id));
                 return client;
             }
 
@@ -255,24 +260,19 @@
 
     /** Takes so many bytes of bodies into hand, or gives them back; false where that is too many. */
     boolean hold(int bytes) {
-        if (bytes > 0 && heldBytes + bytes > HELD_MOST) {
+        if (bytes > 0 && heldBytes + bytes > heldMost) {
             return false;
         }
         heldBytes += bytes;
         return true;
     }
 
-    /** Moves a client connection to the end of the order in which idle ones are closed for want of room. */
-    void used(ClientConnection client) {
+    void closed(ClientConnection client) {
         if (clients.remove(client.id()) != null) {
-            clients.put(client.id(), client);
+            post(new Event.ClientClosed(client.id()));
         }
     }
 
-    void closed(ClientConnection client) {
-        clients.remove(client.id());
-    }
-
     // ---------------------------------------------------------------- peers, discovery, siblings
     /** A peer connection ended by itself. */
     void closed(PeerLink link) {
--- a/src/main/java/granitefold/net/Sockets.java
+++ b/src/main/java/granitefold/net/Sockets.java
@@ -1,10 +1,12 @@
 package granitefold.net;
 
 import java.io.IOException;
+import java.nio.channels.ClosedChannelException;
 import java.nio.channels.DatagramChannel;
 import java.nio.channels.SelectableChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
@@ -22,6 +24,8 @@
  * that thread too, between two selects, so that connections and the reducer need no locks.
  */
 final class Sockets extends SelectorManager {
+    static final int ACCEPTED_A_ROUND = 8;
+
     private final Loop loop;
 
     Sockets(Loop loop) {
@@ -39,6 +43,17 @@
         chooseSelector().submit(selector -> task.run());
     }
 
+    /** Takes new connections from a listener. */
+    void listen(ServerSocketChannel listener) {
+        chooseSelector().submit(selector -> {
+            try {
+                listener.register(selector, SelectionKey.OP_ACCEPT, new Acceptor(listener));
+            } catch (ClosedChannelException e) {
+                // the program ends already
+            }
+        });
+    }
+
     @Override
     protected ManagedSelector newSelector(int id) {
         return new ManagedSelector(this, id) {
@@ -55,11 +70,6 @@
         };
     }
 
-    @Override
-    protected void accepted(SelectableChannel channel) throws IOException {
-        loop.accepted((SocketChannel) channel);
-    }
-
     @Override
     protected EndPoint newEndPoint(SelectableChannel channel, ManagedSelector selector, SelectionKey key) {
         return channel instanceof DatagramChannel datagrams
@@ -77,6 +87,37 @@
         ((Opening) attachment).failed(ex);
     }
 
+    /** Takes in a few new clients a round: a flood must not use up the descriptors before others are closed. */
+    private final class Acceptor implements ManagedSelector.Selectable {
+        private final ServerSocketChannel listener;
+
+        Acceptor(ServerSocketChannel listener) {
+            this.listener = listener;
+        }
+
+        @Override
+        public Runnable onSelected() {
+            try {
+                for (int i = 0; i < ACCEPTED_A_ROUND; i++) {
+                    SocketChannel channel = listener.accept();
+                    if (channel == null) {
+                        break;
+                    }
+                    loop.accepted(channel);
+                }
+            } catch (IOException e) {
+                // the client has gone again, or the listener; the next round tells
+            }
+            return null;
+        }
+
+        @Override
+        public void updateKey() { }
+
+        @Override
+        public void replaceKey(SelectionKey newKey) { }
+    }
+
     /** What a channel is opened for. */
     interface Opening {
         Connection opened(EndPoint endPoint);
--- a/src/main/java/granitefold/wire/ClientRequest.java
+++ b/src/main/java/granitefold/wire/ClientRequest.java
@@ -2,8 +2,13 @@
 
 import granitefold.core.Payload;
 import granitefold.core.Submission;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpURI;
@@ -18,13 +23,19 @@
     private static final List<HttpHeader> OWN = List.of(HttpHeader.CONNECTION, HttpHeader.KEEP_ALIVE, HttpHeader.TE,
             HttpHeader.TRAILER, HttpHeader.TRANSFER_ENCODING, HttpHeader.UPGRADE, HttpHeader.EXPECT,
             HttpHeader.CONTENT_LENGTH, HttpHeader.HOST);
+    /** The protocol's own fields, each of which comes once at the most. */
+    private static final Set<String> OURS = Stream.of(TXN, TENANT, REMAINING, KEY, ESTIMATE, LABELS, "X-Resent", "Host")
+            .map(name -> name.toLowerCase(Locale.ROOT)).collect(Collectors.toUnmodifiableSet());
+    private static final int NAME_MOST = 256;
     private static final String KEY_PARAMETER = "sid=";
     private static final int LABEL_MOST = 1000;
 
     /** Decodes a whole request into the job that it hands in. */
     public static Submission decode(String method, String target, HttpFields head, byte[] body, Vocabulary words)
             throws BadRequest {
-        Integer jobClass = words.classes().get(classOf(target));
+        HttpURI uri = uri(target);
+        check(head);
+        Integer jobClass = words.classes().get(classOf(uri.getPath()));
         if (jobClass == null) {
             throw new BadRequest(404, "unknown class");
         }
@@ -32,7 +43,7 @@
             throw new BadRequest(400, "jobs come by POST");
         }
         String txn = head.get(TXN);
-        if (txn == null || txn.isBlank()) {
+        if (txn == null || txn.isBlank() || txn.length() > NAME_MOST) {
             throw new BadRequest(400, "no " + TXN);
         }
         Integer tenant = words.tenants().isEmpty() ? Integer.valueOf(0) : words.tenants().get(text(head.get(TENANT)));
@@ -40,7 +51,7 @@
             throw new BadRequest(400, "unknown tenant");
         }
         String key = head.get(KEY);
-        if (words.keyed(jobClass) && (key == null || key.isBlank())) {
+        if (words.keyed(jobClass) && (key == null || key.isBlank() || key.length() > NAME_MOST)) {
             throw new BadRequest(400, "a job of this class needs " + KEY);
         }
         long remaining = whole(head.get(REMAINING), REMAINING, -1);
@@ -58,8 +69,44 @@
                 memory = label(label.substring(eq + 1));
             }
         }
-        return new Submission(jobClass, tenant, remaining * 1000, whole(head.get(ESTIMATE), ESTIMATE, 0), slots,
-                memory, Words.key(key(target)), new ClientRequest(method, target, txn, passed(head), body));
+        return new Submission(txn, jobClass, tenant, remaining * 1000, whole(head.get(ESTIMATE), ESTIMATE, 0), slots,
+                memory, Words.key(key(uri.getQuery())), new ClientRequest(method, target, txn, passed(head), body));
+    }
+
+    /** The target, if it passes on to a peer just as it came. */
+    private static HttpURI uri(String target) throws BadRequest {
+        try {
+            HttpURI uri = HttpURI.from(target);
+            if (target.startsWith("/") && visible(target) && target.equals(uri.getPathQuery())) {
+                return uri;
+            }
+        } catch (IllegalArgumentException e) {
+            // told below
+        }
+        throw new BadRequest(400, "bad target");
+    }
+
+    /**
+     * Refuses a head that a peer might read otherwise than we do: a field of ours that comes twice, or that is named
+     * as the connection's own, or a value that is not text. Peers hang up on such, whatever else they do for us.
+     */
+    private static void check(HttpFields head) throws BadRequest {
+        Set<String> seen = new HashSet<>();
+        for (HttpField field : head) {
+            String name = field.getLowerCaseName();
+            if (OURS.contains(name) && !seen.add(name) || !visible(field.getValue())) {
+                throw new BadRequest(400, "bad field " + name);
+            }
+        }
+        for (String nominated : head.getCSV(HttpHeader.CONNECTION, false)) {
+            if (OURS.contains(nominated.toLowerCase(Locale.ROOT))) {
+                throw new BadRequest(400, "bad field connection");
+            }
+        }
+    }
+
+    private static boolean visible(String text) {
+        return text == null || text.chars().allMatch(c -> c >= ' ' && c <= '~' || c == '\t');
     }
 
     /** What concerns only the client's connection, or is worded anew for the peer, stays behind. */
@@ -74,23 +121,13 @@
         return passed.remove(REMAINING).asImmutable();
     }
 
-    private static String classOf(String target) {
-        String path;
-        try {
-            path = HttpURI.from(target).getPath();
-        } catch (IllegalArgumentException e) {
-            return "";
-        }
-        if (path == null || !path.startsWith("/")) {
-            return "";
-        }
+    private static String classOf(String path) {
         int end = path.indexOf('/', 1);
         return end < 0 ? path.substring(1) : path.substring(1, end);
     }
 
     /** The query's {@code sid}: what the request is about; null if it does not say. */
-    private static String key(String target) {
-        String query = HttpURI.from(target).getQuery();
+    private static String key(String query) {
         return query == null ? null : Stream.of(query.split("&")).filter(p -> p.startsWith(KEY_PARAMETER))
                 .findFirst().map(p -> p.substring(KEY_PARAMETER.length())).orElse(null);
     }
--- a/src/main/java/granitefold/wire/HttpMessages.java
+++ b/src/main/java/granitefold/wire/HttpMessages.java
@@ -34,6 +34,9 @@
             }
             return response(503, head, text("rejected"), close);
         }
+        if (answer instanceof FinalAnswer.Duplicate) {
+            return response(409, head, text("this id is another request's"), close);
+        }
         boolean late = ((FinalAnswer.Failed) answer).late();
         return response(late ? 504 : 500, head, text(late ? "timed out" : "failed"), close);
     }
--- a/src/test/java/granitefold/core/ReducerTest.java
+++ b/src/test/java/granitefold/core/ReducerTest.java
@@ -22,7 +22,7 @@
     private final Reducer reducer = new Reducer(new Settings(List.of(new JobClass(Dispatcher.Effect.UNSAFE, Group.ALL, 0,
             SECOND, 5 * SECOND, 1, -1, 1, 0)), List.of(), 0, 1, 0, false, true, 0, 5_000,
             new Limits(4, false, true, false, false, SECOND), new Rules(3 * SECOND, 20_000, 0.3, SECOND, 3, SECOND, 0),
-            new Prices(0, 0, SECOND)), new Reducer.Bounds(8, 120_000, 10 * SECOND), 1);
+            new Prices(0, 0, SECOND)), new Reducer.Bounds(8, 8, 8, 120_000, 10 * SECOND), 1);
     private final List<Effect> effects = new ArrayList<>();
     private long now = 1_000 * SECOND;
 
@@ -40,7 +40,51 @@
 
     private void request() {
         play(new Event.Opened(list(State.READY, true), "127.0.0.1:2"));
-        play(new Event.RequestArrived(7, new Submission(0, 0, 2 * SECOND, 1_000, 1, 0, 0, new Payload() { })));
+        open(7);
+        play(new Event.RequestArrived(7, new Submission("t", 0, 0, 2 * SECOND, 1_000, 1, 0, 0, new Payload() { })));
+    }
+
+    private void open(long client) {
+        play(new Event.ClientOpened(client));
+    }
+
+    /** What was kept past its use made room for nobody, and silent clients kept usual ones out. */
+    @Test
+    void forWantOfRoomTheConnectionMissedLeastIsClosed() {
+        request();
+        for (long client = 10; client < 17; client++) {
+            open(client);
+        }
+        play(new Event.AnsweredHere(12));
+        play(new Event.AnswerWritten(12, false));
+        play(new Event.AnsweredHere(15));
+        play(new Event.AnswerWritten(15, true));
+        for (long client = 20; client < 24; client++) {
+            open(client);
+            now += client == 20 ? 1 : Clients.SILENT_US;
+        }
+        assertEquals(List.of(15L, 12L, 10L, 11L), all(Effect.CloseClient.class).stream().map(e -> e.client()).toList());
+    }
+
+    @Test
+    void aClientThatWasToldToCloseIsNotWaitedForLong() {
+        open(7);
+        play(new Event.AnsweredHere(7));
+        play(new Event.AnswerWritten(7, true));
+        now += Clients.LINGER_US;
+        play(new Event.Woken());
+        assertEquals(List.of(new Effect.CloseClient(7)), all(Effect.CloseClient.class));
+    }
+
+    /** Retry storms end requests by the hundred; none may leave a timer behind until its deadline. */
+    @Test
+    void aRequestThatIsOverLeavesNoTimers() {
+        request();
+        play(new Event.PeerConnected(0));
+        play(new Event.RequestWritten(0));
+        play(new Event.ClientClosed(7));
+        long wake = all(Effect.WakeAt.class).get(all(Effect.WakeAt.class).size() - 1).at();
+        assertTrue(wake < now + SECOND, "only the sweep is left");
     }
 
     /** Connects take time, and the list may change meanwhile. */
--- a/src/test/java/granitefold/real/ServeIT.java
+++ b/src/test/java/granitefold/real/ServeIT.java
@@ -95,17 +95,99 @@
             {request("/ficha", "t", TIME, "").replace("X-Txn: t\r\n", ""), 400},
             {request("/guardar", "t", TIME, ""), 400},
             {request("/ficha", "t", TIME, "").replace("Content-Length: 0", "Content-Length: 65537"), 413},
+            {request("/ficha", "t", TIME, "").replace("Content-Length: 0", "Content-Length: 60000000"), 413},
+            {request("/ficha", "t", "X-Remaining-Ms: -5\r\n", ""), 400},
+            {request("/ficha", "t", TIME + "X-Txn: u\r\n", ""), 400},
+            {request("/ficha", "t", TIME + "Connection: X-Txn\r\n", ""), 400},
+            {request("/ficha", "t", TIME + "X-Odd: \u00e9\r\n", ""), 400},
+            {request("http://x/ficha", "t", TIME, ""), 400},
+            {request("/ficha", "t", TIME + "Content-Length: 5\r\n", ""), 400},
+            {request("/ficha", "t", TIME, "").replace("Content-Length: 0", "Content-Length: -1"), 400},
+            {request("/ficha", "t", TIME, "").replace("Content-Length: 0", "Content-Length: 99999999999999999999"), 400},
+            {request("/ficha", "t", TIME, "").replace("\r\n", "\n"), 400},
+            {request("/ficha", "t", TIME + " folded\r\n", ""), 400},
+            {request("/ficha", "t", TIME + "X-Long: " + "x".repeat(9000) + "\r\n", ""), 431},
+            {request("/ficha?q=" + "x".repeat(9000), "t", TIME, ""), 414},
+            {request("/ficha", "t", TIME, "").replace("Content-Length: 0", "Transfer-Encoding: gzip"), 400},
+            {chunked("zz\r\n"), 400},
+            {chunked("-1\r\nx\r\n0\r\n\r\n"), 400},
+            {chunked("1\r\nxy\r\n0\r\n\r\n"), 400},
+            {chunked("10001\r\n" + "x".repeat(65537)), 413},
+            {chunked("0".repeat(100_000)), 400},
+            {"\r\n".repeat(50_000), 431},
+            // what looks like a body may be another request, and must not be sent on
+            {request("/ficha", "t", TIME + "Transfer-Encoding: chunked\r\n", "0\r\n\r\n" + request("/ficha", "h", TIME, "")), 400},
         };
     }
 
+    private static String chunked(String body) {
+        return request("/ficha", "t", TIME, "").replace("Content-Length: 0", "Transfer-Encoding: chunked") + body;
+    }
+
     @Test
     public void badInputIsAnsweredAndSurvived() throws Exception {
         start(a);
         for (Object[] row : bad()) {
             Exchange client = program.client().write((String) row[0]);
             assertEquals(client.status(), row[1], (String) row[0]);
+            assertTrue(client.closed(), (String) row[0]);
+        }
+        // none of it has come to a peer
+        Exchange client = send("good", "");
+        Exchange peer = a.accept();
+        assertEquals(peer.head.get("x-txn"), "good");
+        peer.answer("done").end();
+        assertEquals(client.status(), 200);
+    }
+
+    /** Each is owed an error or a close, and none of them may keep its place for good. */
+    @Test
+    public void clientsThatNeverComeToAnEndAreTimedOut() throws Exception {
+        start(a);
+        Exchange silent = program.client();
+        Exchange head = program.client().write("POST /ficha HTTP/1.1\r\nHost: x\r\n");
+        Exchange body = program.client().write(request("/ficha", "t", TIME, "soup").replace("soup", "s"));
+        Exchange kept = program.client().write("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
+        assertEquals(kept.status(), 200);
+        kept.write("GET /hea");
+        for (Exchange e : List.of(head, body, kept)) {
+            assertEquals(e.status(), 408);
+        }
+        assertTrue(silent.closed() && head.closed() && body.closed() && kept.closed());
+    }
+
+    @Test
+    public void aCrowdOfSilentClientsKeepsNobodyOut() throws Exception {
+        fields.put("limits", "{\"cores\":1.0,\"memory_mb\":192,\"sockets\":100}");
+        start(a);
+        for (int i = 0; i < 150; i++) {
+            program.client();
+        }
+        Exchange client = send("t1", "");
+        a.accept().answer("done").end();
+        assertEquals(client.status(), 200);
+    }
+
+    /** An answer or a cancel for one would be taken for the other's. */
+    @Test
+    public void theIdOfAnOpenRequestIsRefusedAndThatOneIsNotTouched() throws Exception {
+        start(a);
+        Exchange client = send("t1", "");
+        Exchange peer = a.accept().answer("started");
+        Exchange other = send("t1", "");
+        assertEquals(other.status(), 409);
+        peer.lines("{\"id\":\"t1\",\"from\":\"p\",\"state\":\"done\",\"result\":\"made\"}").end();
+        assertEquals(client.status() + client.body, "200made");
+    }
+
+    /** Each answer used to be written from within the one before, until the stack was used up. */
+    @Test
+    public void aThousandPipelinedRequestsAreAnswered() throws Exception {
+        start(a);
+        Exchange client = program.client().write("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n".repeat(1000));
+        for (int i = 0; i < 1000; i++) {
+            assertEquals(client.status(), 200);
         }
-        assertEquals(program.client().write("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n").status(), 200);
     }
 
     /** A truncated line never becomes a 200, and the next try comes only once the last one's connection is gone. */
@@ -160,6 +242,11 @@
         Exchange peer = a.accept().answer("started");
         client.close();
         assertTrue(peer.closed());
+        // more behind the request than one buffer holds must not hide that
+        client = send("t2", "");
+        peer = a.accept().answer("started");
+        client.write("x".repeat(20_000)).close();
+        assertTrue(peer.closed());
     }
 
     @Test
