A planned end serves on for 2.4 s on the connections that clients have

The log shows DRAINING, 0.7 s later FINISHING, and all answered by 2.8 s; the restart came 3.5 s after the signal whether or not we had ended by then, so ending early gained nothing. At fault: Reducer.terminated closed listener and idle connections after 0.6 s (LISTEN_US) and Reducer.answer sent Connection: close at once. Clients with nowhere else to go lost their way in. Now LISTEN_US is 2.4 s, answers close only from then on, and requests taken while draining are given to the module with the time that is left, so that all have their answers at 3.2 s as before. Ruled out: the time of the start itself (1.6 s at half a core) is not longer than before. The planned-end test now sends a second request on the kept connection.

--- a/src/main/java/granitefold/core/Phase.java
+++ b/src/main/java/granitefold/core/Phase.java
@@ -6,7 +6,7 @@
     STARTING,
     /** Ready: health checks say so. */
     SERVING,
-    /** Told to end: new connections still come for a moment, answers close theirs. */
+    /** Told to end: clients are served on for a while, since most have nowhere better to go. */
     DRAINING,
     /** The listener is closed: what is open gets its final answer. */
     FINISHING,
--- a/src/main/java/granitefold/core/Reducer.java
+++ b/src/main/java/granitefold/core/Reducer.java
@@ -28,8 +28,8 @@
     static final long ANSWER_US = 20_000;
     /** Without a word of discovery the program starts to serve on its known list after this. */
     static final long START_US = 500_000;
-    /** After SIGTERM new connections still come for up to 0.4 s. */
-    static final long LISTEN_US = 600_000, LAST_READ_US = 100_000;
+    /** After SIGTERM clients go on using the connections they have for so long: where else should they go? */
+    static final long LISTEN_US = 2_400_000, LAST_READ_US = 100_000;
     /** After SIGTERM the process may be killed 3.7 s later: what is open by then gets its answer. */
     static final long FINISH_US = 3_200_000;
     private static final long SWEEP_US = 500_000;
@@ -51,6 +51,10 @@
     private final ArrayDeque<Runnable> afterwards = new ArrayDeque<>();
     private Watch watch;
     private Phase phase = Phase.STARTING;
+    /** From then on answers close their connections. */
+    private long listensUntil = Long.MAX_VALUE;
+    /** By then every request is to have its answer. */
+    private long endsAt = Long.MAX_VALUE;
     private long wakeAt = Long.MAX_VALUE;
     private long lastId;
     private long now;
@@ -166,18 +170,20 @@
     }
 
     /**
-     * A planned end: clients still come for a moment and are told to close, then the listener goes, and what is
-     * left open shortly before the process may be killed gets its final answer.
+     * A planned end: clients are served on for as long as most jobs can still be done, then the listener and idle
+     * connections go, and what is left open shortly before the process may be killed gets its final answer.
      */
     private void terminated() {
         if (phase.compareTo(Phase.DRAINING) >= 0) {
             return;
         }
         enter(Phase.DRAINING);
-        timers.at(now + LISTEN_US, t -> effects.add(new Effect.StopListening()));
+        listensUntil = now + LISTEN_US;
+        endsAt = now + FINISH_US;
+        timers.at(listensUntil, t -> effects.add(new Effect.StopListening()));
         // what the last read of idle connections brings up is taken in before the end is near
-        timers.at(now + LISTEN_US + LAST_READ_US, t -> enter(Phase.FINISHING));
-        timers.at(now + FINISH_US, t -> List.copyOf(owed.values()).forEach(this::giveUp));
+        timers.at(listensUntil + LAST_READ_US, t -> enter(Phase.FINISHING));
+        timers.at(endsAt, t -> List.copyOf(owed.values()).forEach(this::giveUp));
     }
 
     private void sweep(long at) {
@@ -196,8 +202,8 @@
             reply(client, new FinalAnswer.Duplicate());
             return;
         }
-        RequestContext c = new RequestContext(++lastId, client, s, now + s.remainingUs(),
-                now + Math.max(0, s.remainingUs() - ANSWER_US));
+        long deadline = Math.min(now + s.remainingUs(), endsAt);
+        RequestContext c = new RequestContext(++lastId, client, s, deadline, Math.max(now, deadline - ANSWER_US));
         contexts.put(c.id, c);
         owed.put(client, c);
         c.timer = timers.at(c.deadline - ANSWER_US / 4, t -> {
@@ -230,7 +236,7 @@
 
     private void reply(long client, FinalAnswer answer) {
         clients.answering(client, now);
-        effects.add(new Effect.Answer(client, answer, phase.compareTo(Phase.DRAINING) >= 0));
+        effects.add(new Effect.Answer(client, answer, now >= listensUntil));
     }
 
     /** Ends a context without the module: a reject where nothing ran, else failed. */
--- a/src/test/java/granitefold/real/ServeIT.java
+++ b/src/test/java/granitefold/real/ServeIT.java
@@ -378,9 +378,14 @@
         program.process.toHandle().destroy();
         program.awaitLog("phase: DRAINING");
         late.write(raw.substring(30));
-        a.accept().answer("done").end();
+        Exchange peer = a.accept();
+        peer.answer("done").end();
         assertEquals(late.status(), 200);
-        assertEquals(late.head.get("connection"), "close");
+        // whoever has a connection goes on using it
+        late.write(request("/ficha?sid=1", "t4", TIME, "salt"));
+        peer.read();
+        peer.answer("done").end();
+        assertEquals(late.status() + late.body, "200made salt");
         served.lines("{\"id\":\"t1\",\"from\":\"p\",\"state\":\"done\",\"result\":\"made\"}").end();
         assertEquals(early.status(), 200);
         program.awaitLog("phase: FINISHING");
