--- a/src/main/java/granitefold/net/Loop.java
+++ b/src/main/java/granitefold/net/Loop.java
@@ -74,7 +74,7 @@
         listener.setOption(StandardSocketOptions.SO_REUSEADDR, true);
         listener.bind(config.listen(), BACKLOG);
         listener.configureBlocking(false);
-        LOG.info("listening on {}", Address.text((InetSocketAddress) listener.getLocalAddress()));
+        LOG.info("listening on {}", Address.text(address()));
         sockets.start();
         sockets.submit(() -> {
             if (config.siblingListen() != null) {
@@ -85,6 +85,11 @@
         });
     }
 
+    /** Where it listens. */
+    public InetSocketAddress address() throws IOException {
+        return (InetSocketAddress) listener.getLocalAddress();
+    }
+
     /**
      * Reads the configuration anew and goes over to the discovery that it names; all else in it is for the next
      * start. A broken file changes nothing. From any thread but the selector's, which must not wait for a file.
