A planned end serves on for 2.9 s unless a sibling is heard; hopeless jobs refused at once

Now Reducer.terminated hands over after 0.6 s where a sibling's datagram came within the last second, else after 2.9 s, and all have their answers at 3.4 s.

--- a/src/main/java/granitefold/Decide.java
+++ b/src/main/java/granitefold/Decide.java
@@ -131,7 +131,7 @@
         Job job = new Job(r, now, weigh(r));
         Bucket b = bucket(r.tenant(), now);
         survey(job, now);
-        if (strained(job, now) && (b != null && b.available() < 1 || hopeless(job, now))) {
+        if (hopeless(job, now) || strained(job, now) && b != null && b.available() < 1) {
             out.refuse(r.id(), retryAfter(b));
             return;
         }
--- a/src/main/java/granitefold/core/Reducer.java
+++ b/src/main/java/granitefold/core/Reducer.java
@@ -28,10 +28,14 @@
     static final long ANSWER_US = 20_000;
     /** Without a word of discovery the program starts to serve on its known list after this. */
     static final long START_US = 500_000;
-    /** After SIGTERM clients go on using the connections they have for so long: where else should they go? */
-    static final long LISTEN_US = 2_400_000, LAST_READ_US = 100_000;
+    /** After SIGTERM new connections still come for up to 0.4 s; then clients can go over to a sibling. */
+    static final long HAND_OVER_US = 600_000, LAST_READ_US = 100_000;
+    /** Where there is no sibling, clients are served for so long on the connections they have. */
+    static final long SERVE_ON_US = 2_900_000;
+    /** A sibling that was heard so lately is up. */
+    static final long COMPANY_US = 1_000_000;
     /** After SIGTERM the process may be killed 3.7 s later: what is open by then gets its answer. */
-    static final long FINISH_US = 3_200_000;
+    static final long FINISH_US = 3_400_000;
     private static final long SWEEP_US = 500_000;
     /** How long the end of an answer may follow its last line. */
     private static final long SETTLE_US = 1_000_000;
@@ -53,6 +57,7 @@
     private Phase phase = Phase.STARTING;
     /** From then on answers close their connections. */
     private long listensUntil = Long.MAX_VALUE;
+    private long siblingHeardAt;
     /** By then every request is to have its answer. */
     private long endsAt = Long.MAX_VALUE;
     private long wakeAt = Long.MAX_VALUE;
@@ -142,6 +147,7 @@
         } else if (event instanceof Event.DiscoveryMoved e) {
             watch.move(e.address(), now);
         } else if (event instanceof Event.SiblingSaid e) {
+            siblingHeardAt = now;
             module.heard(now, e.from(), e.message());
         } else if (event instanceof Event.Terminated) {
             terminated();
@@ -170,15 +176,17 @@
     }
 
     /**
-     * A planned end: clients are served on for as long as most jobs can still be done, then the listener and idle
-     * connections go, and what is left open shortly before the process may be killed gets its final answer.
+     * A planned end: clients are served on for a moment, or where no sibling is there to take them over for as long
+     * as jobs can still be done. Then the listener and idle connections go, and what is left open shortly before the
+     * process may be killed gets its final answer.
      */
     private void terminated() {
         if (phase.compareTo(Phase.DRAINING) >= 0) {
             return;
         }
         enter(Phase.DRAINING);
-        listensUntil = now + LISTEN_US;
+        boolean company = siblingHeardAt != 0 && now - siblingHeardAt < COMPANY_US;
+        listensUntil = now + (company ? HAND_OVER_US : SERVE_ON_US);
         endsAt = now + FINISH_US;
         timers.at(listensUntil, t -> effects.add(new Effect.StopListening()));
         // what the last read of idle connections brings up is taken in before the end is near
--- a/src/test/java/granitefold/core/ReducerTest.java
+++ b/src/test/java/granitefold/core/ReducerTest.java
@@ -1,6 +1,7 @@
 package granitefold.core;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import granitefold.Dispatcher;
@@ -87,6 +88,33 @@
         assertTrue(wake < now + SECOND, "only the sweep is left");
     }
 
+    private boolean handsOverEarly(boolean company) {
+        request();
+        if (company) {
+            play(new Event.SiblingSaid(0, new byte[0]));
+        }
+        play(new Event.Terminated());
+        now += Reducer.HAND_OVER_US;
+        play(new Event.Woken());
+        boolean early = !all(Effect.StopListening.class).isEmpty();
+        now += Reducer.SERVE_ON_US;
+        play(new Event.Woken());
+        assertEquals(1, all(Effect.StopListening.class).size());
+        return early;
+    }
+
+    /** Closed early, connections of clients that have nowhere else to go were lost requests. */
+    @Test
+    void aPlannedEndServesOnWhereNoSiblingIsThere() {
+        assertFalse(handsOverEarly(false));
+    }
+
+    /** Closed late, they would meet the sibling's own planned end, which mostly comes next. */
+    @Test
+    void aPlannedEndHandsClientsOverToASibling() {
+        assertTrue(handsOverEarly(true));
+    }
+
     /** Connects take time, and the list may change meanwhile. */
     @Test
     void aPeerToldToDrainWhileItsConnectionCameUpGetsNothing() {
