Only a request with a hint is refused as hopeless without strain; full score 0.877

Seen: aSilentPeerIsAnsweredForByTheDeadline failed on the commit before: a request without a hint counts as a mean job, a second at the start, and was refused for its 300 ms though nobody knew how long it takes. At fault: the condition in Decide.requested. It now asks for the hint or for strain.

--- a/src/main/java/granitefold/Decide.java
+++ b/src/main/java/granitefold/Decide.java
@@ -131,7 +131,8 @@
         Job job = new Job(r, now, weigh(r));
         Bucket b = bucket(r.tenant(), now);
         survey(job, now);
-        if (hopeless(job, now) || strained(job, now) && b != null && b.available() < 1) {
+        boolean strained = strained(job, now);
+        if (strained && b != null && b.available() < 1 || (strained || r.workUs() > 0) && hopeless(job, now)) {
             out.refuse(r.id(), retryAfter(b));
             return;
         }
