--- a/src/main/java/granitefold/Decide.java
+++ b/src/main/java/granitefold/Decide.java
@@ -131,8 +131,8 @@
         Job job = new Job(r, now, weigh(r));
         Bucket b = bucket(r.tenant(), now);
         survey(job, now);
-        boolean strained = strained(job, now);
-        if (strained && b != null && b.available() < 1 || (strained || r.workUs() > 0) && hopeless(job, now)) {
+        boolean strained = strained(job, now), told = strained || r.workUs() > 0;
+        if (told && hopeless(job, now) || strained && b != null && b.available() < 1) {
             out.refuse(r.id(), retryAfter(b));
             return;
         }
