Slots of a worker counted as of 30 ms ago: waits were estimated at half

A trace of each try's expected and real wait: 53 against 125 ms in the first 5 s, 457 against 1053 at the worst; jobs expected to start at once waited up to 0.4 s in one case of ten. At fault: Decide.started took Node.running() less 1 for slots seen together, but several notes of starts may overtake the answers whose ends made room for them, so the maximum crept up. Ruled out: the order on the slots (Lanes starts jobs in their order already), memory (never more units than slots), fetches. Now running(at) counts only jobs that had started 30 ms ago and are still out: they did run together. A new test of the module fails without the change.

--- a/src/main/java/granitefold/Decide.java
+++ b/src/main/java/granitefold/Decide.java
@@ -56,6 +56,8 @@
     static final double NODE_MEMORY = 0.95, KIND_MEMORY = 0.99;
     /** A worker's speed leans on its kind's, and that on 1, with the weight of this many jobs. */
     static final double SPEED_PRIOR = 5;
+    /** Notes and answers of one worker overtake each other by less than this. */
+    static final long NOTE_US = 30_000;
     /** Estimates are off, and others pick at the same moment: costs are drawn up to this share higher. */
     static final double SPREAD = 0.1;
     /** What a crossing of zones delays a job by, and what a price of one mean job's worth counts for. */
@@ -154,8 +156,7 @@
             a.node.heardAt = now;
             expect(a, nextSign(a, now), now);
             if (!freeTold) {
-                // the note of a start may overtake the answer that made room for it
-                slots(a.node, a.node.running() - 1);
+                slots(a.node, a.node.running(now - NOTE_US));
             }
         }
     }
--- a/src/main/java/granitefold/Node.java
+++ b/src/main/java/granitefold/Node.java
@@ -104,11 +104,14 @@
         return n;
     }
 
-    /** Slots that jobs of ours are told to run on. */
-    int running() {
+    /**
+     * Slots that jobs of ours ran on together at a time that lies so far back that word of their ends would be here.
+     * Counted as of now, a start would seem to come on top of the end that made room for it.
+     */
+    int running(long at) {
         int n = 0;
         for (Attempt a : out) {
-            n += a.startedAt != 0 ? a.job.slots : 0;
+            n += a.startedAt != 0 && a.startedAt <= at ? a.job.slots : 0;
         }
         return n;
     }
--- a/src/test/java/granitefold/DecideTest.java
+++ b/src/test/java/granitefold/DecideTest.java
@@ -279,6 +279,20 @@
         assertTrue(b.log.size() > before);
     }
 
+    /** Counted at once, a start came on top of the job whose end made room for it, and waits seemed half as long. */
+    @Test
+    void aStartThatOvertakesAnEndAddsNoSlot() {
+        Bench b = new Bench(1, false).list(ListNews.WHOLE, Bench.worker(10, 0, 0));
+        for (int i = 0; i < 4; i++) {
+            b.module.started(b.now, b.request(Bench.SAFE, 0, 10, 9_000), 0);
+        }
+        long next = b.request(Bench.SAFE, 0, 10, 9_000);
+        assertEquals(0, b.module.reach.get(0).slots);
+        b.pass(Decide.NOTE_US / 1000);
+        b.module.started(b.now, next, 0);
+        assertEquals(4, b.module.reach.get(0).slots);
+    }
+
     @Test
     void sameEventsSameActions() {
         assertEquals(script(5), script(5));
