A start with known peers serves at once instead of waiting for discovery's first word

Seen: at half a core 0.33 s pass between the saved list and SERVING, in which a restarted dispatcher gets no clients. At fault: Reducer.opened waited for discovery or START_US even where the last list has peers; that list stands in any case until a new one comes, and requests were taken already. Checked: a test of the reducer, which fails without the change; with no ready peer known the wait stays.

--- a/src/main/java/granitefold/core/Phase.java
+++ b/src/main/java/granitefold/core/Phase.java
@@ -2,7 +2,7 @@
 
 /** The program's phases, in their order. */
 public enum Phase {
-    /** Waiting for the first word of discovery; requests are taken already. */
+    /** No peer is known: waiting for the first word of discovery; requests are taken already. */
     STARTING,
     /** Ready: health checks say so. */
     SERVING,
--- a/src/main/java/granitefold/core/Reducer.java
+++ b/src/main/java/granitefold/core/Reducer.java
@@ -26,7 +26,7 @@
 public final class Reducer {
     /** The client's clock runs since it sent the request; so much of its time is kept for the way back. */
     static final long ANSWER_US = 20_000;
-    /** Without a word of discovery the program starts to serve on its known list after this. */
+    /** With no peer known, the program starts to serve after this, if discovery has sent no word before. */
     static final long START_US = 500_000;
     /** After SIGTERM new connections still come for up to 0.4 s; then clients can go over to a sibling. */
     static final long HAND_OVER_US = 600_000, LAST_READ_US = 100_000;
@@ -165,7 +165,12 @@
         listed(ListNews.SAVED, known);
         watch = new Watch(discovery, known.version(), timers, effects);
         watch.open(now);
-        timers.at(now + START_US, t -> serve());
+        if (peers.values().stream().anyMatch(p -> p.state == State.READY)) {
+            // a start after a planned end or a crash: clients wait for it, and the last list is as good as it was
+            serve();
+        } else {
+            timers.at(now + START_US, t -> serve());
+        }
         sweep(now);
     }
 
--- a/src/test/java/granitefold/core/ReducerTest.java
+++ b/src/test/java/granitefold/core/ReducerTest.java
@@ -88,6 +88,15 @@
         assertTrue(wake < now + SECOND, "only the sweep is left");
     }
 
+    /** A restarted program has its last list, and clients wait for it. */
+    @Test
+    void aKnownPeerIsEnoughToServe() {
+        play(new Event.Opened(list(State.DRAINING, true), "127.0.0.1:2"));
+        assertEquals(Phase.STARTING, reducer.phase());
+        play(new Event.Opened(list(State.READY, true), "127.0.0.1:2"));
+        assertEquals(Phase.SERVING, reducer.phase());
+    }
+
     private boolean handsOverEarly(boolean company) {
         request();
         if (company) {
