A kept connection that breaks takes the peer's other idle ones along

At fault, by reading: Reducer.peerClosed forgot only the one, and the idle list hands out the next as if nothing had been. Now PeerConnection.stale tells that nothing has come since it was kept; such an end closes the peer's idle ones. A new test of the reducer fails without the change.

--- a/src/main/java/granitefold/core/PeerConnection.java
+++ b/src/main/java/granitefold/core/PeerConnection.java
@@ -18,6 +18,8 @@
     final Peer peer;
     final String address;
     State state = State.CONNECTING;
+    /** It was idle before, and nothing has come on it since. */
+    boolean stale;
     /** The try that is out on it, or null. */
     Try carries;
     /** Ends the wait for the end of an answer. */
--- a/src/main/java/granitefold/core/Pool.java
+++ b/src/main/java/granitefold/core/Pool.java
@@ -58,6 +58,7 @@
     void release(PeerConnection c, long now) {
         c.state = PeerConnection.State.IDLE;
         c.idleSince = now;
+        c.stale = true;
         unsettle(c);
         c.peer.idle.addFirst(c);
         idle.add(c);
--- a/src/main/java/granitefold/core/Reducer.java
+++ b/src/main/java/granitefold/core/Reducer.java
@@ -326,6 +326,7 @@
         if (t == null) {
             return;
         }
+        c.stale = false;
         if (news instanceof TryNews.Started) {
             module.started(now, t.context.id, t.number);
         } else if (news instanceof TryNews.Progressed p) {
@@ -368,6 +369,10 @@
             return;
         }
         pool.forget(c);
+        if (c.stale) {
+            // what ended this kept connection has most likely ended the others too
+            pool.closeIdle(c.peer);
+        }
         if (c.carries != null) {
             end(c.carries, c.state == PeerConnection.State.WAITING ? Outcome.BROKEN : Outcome.UNREACHABLE);
         }
--- a/src/test/java/granitefold/core/ReducerTest.java
+++ b/src/test/java/granitefold/core/ReducerTest.java
@@ -41,8 +41,12 @@
 
     private void request() {
         play(new Event.Opened(list(State.READY, true), "127.0.0.1:2"));
-        open(7);
-        play(new Event.RequestArrived(7, new Submission("t", 0, 0, 2 * SECOND, 1_000, 1, 0, 0, new Payload() { })));
+        request(7, "t");
+    }
+
+    private void request(long client, String name) {
+        open(client);
+        play(new Event.RequestArrived(client, new Submission(name, 0, 0, 2 * SECOND, 1_000, 1, 0, 0, new Payload() { })));
     }
 
     private void open(long client) {
@@ -162,6 +166,24 @@
         assertEquals(2, all(Effect.Connect.class).size());
     }
 
+    /** Peers that drop kept connections drop them together: each of the others would cost a request. */
+    @Test
+    void aKeptConnectionThatBreaksTakesTheOtherIdleOnesAlong() {
+        request();
+        request(8, "u");
+        for (long connection = 0; connection < 2; connection++) {
+            play(new Event.PeerConnected(connection));
+            play(new Event.RequestWritten(connection));
+            play(new Event.PeerSaid(connection, new TryNews.Served(new byte[0])));
+            play(new Event.AnswerEnded(connection, true));
+        }
+        request(9, "v");
+        play(new Event.RequestWritten(1));
+        assertEquals(0, all(Effect.ClosePeer.class).size());
+        play(new Event.PeerClosed(1));
+        assertEquals(List.of(new Effect.ClosePeer(0)), all(Effect.ClosePeer.class));
+    }
+
     /** Siblings speak of peers by these: alike everywhere, and short enough for a message. */
     @Test
     void aPeersIdComesFromItsNameAlone() {
