Balancer checks: agent, HTTP, control, PROXY and probe fronts; CLI and operator file

Need: a front keeps sending to a dead or draining dispatcher for up to 2.4 s; other installations let their balancers poll. Ours knew only /healthz, ready or not. Change: granitefold.availability (pure machine: standing, weight, cap, reason), granitefold.health (rise and fall, ejection, panic), fronts in net.checks on a thread of their own, PROXY v1/v2 in wire, Envoy and ORCA fields, drain/ready/maint/status over a Unix socket. Groundwork: picocli, HOCON operator's file with all problems at once, events declared once and written as text or JSON. All off in run; what is off opens nothing.

--- a/src/main/java/granitefold/Decide.java
+++ b/src/main/java/granitefold/Decide.java
@@ -223,6 +223,20 @@
         }
     }
 
+    @Override
+    public Pressure pressure(long now) {
+        int ready = 0, full = 0;
+        double least = Double.MAX_VALUE;
+        for (Node n : nodes.values()) {
+            if (n.state == State.READY) {
+                ready++;
+                full += n.fullUntil > now ? 1 : 0;
+                least = Math.min(least, waitOn(n, 1, now));
+            }
+        }
+        return new Pressure(ready, full, ready == 0 ? 0 : least, tightest);
+    }
+
     private Attempt attempt(long request, int number) {
         Job job = jobs.get(request);
         return job == null || number < 0 || number >= job.attempts.size() ? null : job.attempts.get(number);
--- a/src/main/java/granitefold/Dispatcher.java
+++ b/src/main/java/granitefold/Dispatcher.java
@@ -118,6 +118,15 @@
     /** A message from another dispatcher; it may be anything at all. */
     void heard(long now, int from, byte[] message);
 
+    /**
+     * What the module takes to be owed against what workers can do: {@code ready} workers, {@code full} of them that
+     * lately refused, the time before a job would start at the one that is best off, and the tightest class's allowance.
+     */
+    record Pressure(int ready, int full, double waitUs, double boundUs) { }
+
+    /** How hard pressed the module takes its workers to be. */
+    Pressure pressure(long now);
+
     /** The decisions. Attempts of a request are numbered 0, 1, 2 ... in the order of {@link #send}. */
     interface Actions {
         /** Send a request to a worker and wait at most {@code waitUs} (0: until the client gives up). */
--- a/src/main/java/granitefold/Rehearsal.java
+++ b/src/main/java/granitefold/Rehearsal.java
@@ -24,6 +24,10 @@
     private static final String REQUEST = "POST /job?sid=1 HTTP/1.1\r\nHost: x\r\nX-Txn: 1\r\nX-Remaining-Ms: 900\r\n"
             + "X-Estimate: 1000\r\nX-Labels: slots=1\r\nContent-Length: 4\r\nConnection: close\r\n\r\nsoup";
 
+    /** Loaded with an operator's file or for other commands only: in the archive they would cost every start. */
+    private static final String ELSEWHERE = "granitefold\\.(cli\\.(Commands|ControlClient|JsonLines)|operator\\.(OperatorFile"
+            + "|Section)|net\\.checks\\.|shaded\\.jackson\\.(databind|annotation)).*";
+
     private Rehearsal() { }
 
     static void run() throws Exception {
@@ -77,7 +81,7 @@
         try (JarFile file = new JarFile(jar.toFile())) {
             for (JarEntry entry : Collections.list(file.entries())) {
                 String name = entry.getName().replace('/', '.');
-                if (name.startsWith("granitefold.") && name.endsWith(".class")
+                if (name.startsWith("granitefold.") && name.endsWith(".class") && !name.matches(ELSEWHERE)
                         || name.matches("org\\.eclipse\\.jetty\\.(io|http|util)\\.([a-z]+\\.)?[A-Z].*\\.class")) {
                     try {
                         Class.forName(name.substring(0, name.length() - ".class".length()), true,
--- /dev/null
+++ b/src/main/java/granitefold/cli/Serve.java
@@ -0,0 +1,110 @@
+package granitefold.cli;
+
+import granitefold.logging.EventLog;
+import granitefold.logging.LogEvent;
+import granitefold.net.Loop;
+import granitefold.net.checks.Checks;
+import granitefold.operator.Operator;
+import granitefold.operator.OperatorFile;
+import granitefold.wire.BadWire;
+import granitefold.wire.Config;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import sun.misc.Signal;
+
+/** Runs one real dispatcher until it is told to end. */
+public final class Serve {
+    /** After SIGTERM the process may be killed 3.7 s later. */
+    private static final long TERMINATE_MS = 3_600;
+    /** Status of a broken configuration. */
+    static final int BAD_CONFIGURATION = 2;
+
+    private final Path config;
+    private final Path operatorFile;
+    private Operator operator = Operator.NONE;
+    private Loop loop;
+    private Checks checks;
+
+    private Serve(Path config, Path operatorFile) {
+        this.config = config;
+        this.operatorFile = operatorFile;
+    }
+
+    /** Starts; {@code operatorFile} may be null. What is broken ends the process with one line a problem. */
+    public static void run(String config, String operatorFile) {
+        try {
+            if (config == null || config.isEmpty()) {
+                throw new BadWire("LB_CONFIG names no file");
+            }
+            new Serve(Path.of(config), operatorFile == null ? null : Path.of(operatorFile)).start();
+        } catch (BadWire e) {
+            fail(List.of("bad configuration: " + e.getMessage()));
+        } catch (Exception e) {
+            if (operatorFile != null && e instanceof OperatorFile.Broken broken) {
+                fail(broken.problems());
+            }
+            fail(List.of("cannot start: " + e));
+        }
+    }
+
+    private void start() throws Exception {
+        // before all else: unhandled, the signal ends the JVM
+        CompletableFuture<Serve> started = new CompletableFuture<>();
+        Signal.handle(new Signal("HUP"), signal -> started.thenAccept(Serve::reload));
+        if (operatorFile != null) {
+            operator = OperatorFile.read(operatorFile).operator();
+            if (operator.log().json()) {
+                JsonLines.begin();
+            }
+        }
+        loop = new Loop(Config.read(config), operator);
+        if (operator.checks()) {
+            checks = new Checks(loop.name(), loop, operator);
+            checks.start();
+        }
+        Runtime.getRuntime().addShutdownHook(new Thread(this::terminate, "terminate"));
+        loop.start();
+        started.complete(this);
+    }
+
+    private synchronized void reload() {
+        loop.reload(config);
+        if (operatorFile == null) {
+            return;
+        }
+        try {
+            Operator next = OperatorFile.read(operatorFile).operator();
+            EventLog.log(LogEvent.OPERATOR_READ, operatorFile);
+            for (String key : OperatorFile.restartOnly(operator, next)) {
+                EventLog.log(LogEvent.OPERATOR_RESTART, key);
+            }
+            if (checks != null) {
+                checks.reload(next);
+            }
+            if (operator.tells()) {
+                loop.retune(next.availability());
+            }
+        } catch (OperatorFile.Broken e) {
+            EventLog.log(LogEvent.OPERATOR_KEPT, e.getMessage());
+        }
+    }
+
+    private void terminate() {
+        try {
+            loop.terminate(TERMINATE_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        if (checks != null) {
+            checks.end();
+        }
+        // a planned end is a success: without this the status would tell of the signal
+        Runtime.getRuntime().halt(0);
+    }
+
+    private static void fail(List<String> lines) {
+        lines.forEach(line -> System.err.println("granitefold: " + line));
+        Runtime.getRuntime().halt(BAD_CONFIGURATION);
+    }
+}
--- a/src/main/java/granitefold/core/Clients.java
+++ b/src/main/java/granitefold/core/Clients.java
@@ -60,8 +60,13 @@
         }
     }
 
+    /** Those that are open. */
+    int size() {
+        return places.size() - in.get(State.CLOSING).size();
+    }
+
     void opened(long client, long now) {
-        if (places.size() - in.get(State.CLOSING).size() >= most) {
+        if (size() >= most) {
             makeRoom(now);
         }
         Place p = new Place(client);
--- a/src/main/java/granitefold/core/Effect.java
+++ b/src/main/java/granitefold/core/Effect.java
@@ -1,5 +1,7 @@
 package granitefold.core;
 
+import granitefold.logging.LogEvent;
+
 /** What the reducer asks the adapters to do, in this order. */
 public sealed interface Effect {
 
@@ -39,6 +41,18 @@
     /** All is done: flush what is being written, then end the process. */
     record Stop() implements Effect { }
 
-    /** Write a line to the log. */
-    record Log(String line) implements Effect { }
+    /** Write an event to the log. */
+    record Log(LogEvent event, Object... values) implements Effect { }
+
+    /** Measure the process and report {@link Event.Sampled}. */
+    record Sample() implements Effect { }
+
+    /** Tell balancers and operators how the dispatcher stands. */
+    record Publish(Report report) implements Effect { }
+
+    /** Probe a peer and report {@link Event.Probed}. */
+    record Probe(long peer, String address) implements Effect { }
+
+    /** A probe has taken too long: close it; no event follows. */
+    record EndProbe(long peer) implements Effect { }
 }
--- a/src/main/java/granitefold/core/Event.java
+++ b/src/main/java/granitefold/core/Event.java
@@ -1,5 +1,8 @@
 package granitefold.core;
 
+import granitefold.availability.AvailabilitySettings;
+import granitefold.availability.Wish;
+
 /** What the adapters report to the reducer. Connections go by numbers: clients' by theirs, peers' by the core's. */
 public sealed interface Event {
 
@@ -54,6 +57,18 @@
     /** The program was told to end. */
     record Terminated() implements Event { }
 
+    /** The process was measured. */
+    record Sampled(Resources resources) implements Event { }
+
+    /** An operator has asked for something. */
+    record Wished(Wish wish) implements Event { }
+
+    /** The operator's file was read anew, with other figures. */
+    record Retuned(AvailabilitySettings availability) implements Event { }
+
+    /** A probe of a peer has come to its end. */
+    record Probed(long peer, boolean well, String reason) implements Event { }
+
     /** A time asked for by {@link Effect.WakeAt} has come. */
     record Woken() implements Event { }
 }
--- a/src/main/java/granitefold/core/Peer.java
+++ b/src/main/java/granitefold/core/Peer.java
@@ -1,5 +1,6 @@
 package granitefold.core;
 
+import granitefold.Dispatcher;
 import granitefold.Dispatcher.State;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -16,6 +17,8 @@
     final long id;
     String address;
     State state;
+    /** What discovery last said of it, for the module. */
+    Dispatcher.Worker listed;
     /** Connections that are open, whatever their state. */
     int open;
     /** Idle connections, the last one used first. */
--- a/src/main/java/granitefold/core/Reducer.java
+++ b/src/main/java/granitefold/core/Reducer.java
@@ -7,6 +7,8 @@
 import granitefold.Dispatcher.Settings;
 import granitefold.Dispatcher.State;
 import granitefold.Dispatcher.Worker;
+import granitefold.health.HealthBoard;
+import granitefold.logging.LogEvent;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -53,6 +55,9 @@
     private final Set<String> names = new HashSet<>();
     /** Outcomes of tries that ended within a call of the module, which is told once that call is over. */
     private final ArrayDeque<Runnable> afterwards = new ArrayDeque<>();
+    private final Attendance attendance;
+    /** Null where neither probes nor tries are to say which peers look dead. */
+    private final PeerHealth health;
     private Watch watch;
     private Phase phase = Phase.STARTING;
     /** From then on answers close their connections. */
@@ -69,7 +74,13 @@
             long idleCloseUs) { }
 
     public Reducer(Settings settings, Bounds bounds, long seed) {
+        this(settings, bounds, seed, Extras.NONE);
+    }
+
+    public Reducer(Settings settings, Bounds bounds, long seed, Extras extras) {
         this.bounds = bounds;
+        attendance = new Attendance(extras.availability(), bounds.clientConnections(), this, timers, effects);
+        health = extras.health() == null ? null : new PeerHealth(extras.health(), seed, timers, effects);
         pool = new Pool(bounds.peerConnections(), bounds.idleCloseUs(), timers, effects);
         clients = new Clients(bounds.clientConnections(), timers, effects);
         module = new Decide(settings, seed, new Sink());
@@ -79,6 +90,35 @@
         return phase;
     }
 
+    // ---------------------------------------------------------------- what the dispatcher says of itself
+    Dispatcher.Pressure pressure() {
+        return module.pressure(now);
+    }
+
+    double clientShare() {
+        return (double) clients.size() / bounds.clientConnections();
+    }
+
+    int clients() {
+        return clients.size();
+    }
+
+    int owed() {
+        return owed.size();
+    }
+
+    int peersDown() {
+        return health == null ? 0 : health.down();
+    }
+
+    boolean panic() {
+        return health != null && health.panic();
+    }
+
+    long listVersion() {
+        return watch == null ? 0 : watch.version();
+    }
+
     /** Takes one event in; returns the effects it asks for, in order, in a list that stands until the next call. */
     public List<Effect> reduce(Event event, long time) {
         now = Math.max(now, time);
@@ -138,6 +178,7 @@
             peerClosed(pool.get(e.connection()));
         } else if (event instanceof Event.WatchNews e) {
             watch.heard(e.list(), now);
+            attendance.heard(e.list() != null, now);
             if (e.list() != null) {
                 listed(e.list().whole() ? ListNews.WHOLE : ListNews.CHANGES, e.list());
             }
@@ -151,17 +192,27 @@
             module.heard(now, e.from(), e.message());
         } else if (event instanceof Event.Terminated) {
             terminated();
+        } else if (event instanceof Event.Sampled e) {
+            attendance.sampled(e.resources(), now);
+        } else if (event instanceof Event.Wished e) {
+            attendance.wished(e.wish(), now);
+        } else if (event instanceof Event.Retuned e) {
+            attendance.retuned(e.availability());
+        } else if (event instanceof Event.Probed e && health != null) {
+            judged(health.probed(e.peer(), e.well(), e.reason(), now));
         }
     }
 
     // ---------------------------------------------------------------- phases
     private void enter(Phase next) {
         phase = next;
-        effects.add(new Effect.Log("phase: " + next));
+        effects.add(new Effect.Log(LogEvent.PHASE, next));
+        attendance.evaluate(now);
     }
 
     private void opened(PeerList known, String discovery) {
         module.start(now);
+        attendance.opened(now);
         listed(ListNews.SAVED, known);
         watch = new Watch(discovery, known.version(), timers, effects);
         watch.open(now);
@@ -172,6 +223,9 @@
             timers.at(now + START_US, t -> serve());
         }
         sweep(now);
+        if (health != null) {
+            health.begin(this::judged, peers, now);
+        }
     }
 
     private void serve() {
@@ -249,7 +303,8 @@
 
     private void reply(long client, FinalAnswer answer) {
         clients.answering(client, now);
-        effects.add(new Effect.Answer(client, answer, now >= listensUntil));
+        attendance.answered(answer, now);
+        effects.add(new Effect.Answer(client, answer, now >= listensUntil || attendance.sendsAway()));
     }
 
     /** Ends a context without the module: a reject where nothing ran, else failed. */
@@ -388,7 +443,11 @@
     private void end(Try t, Outcome outcome) {
         timers.cancel(t.timer);
         t.outcome = outcome;
+        attendance.tried(outcome);
         module.ended(now, t.context.id, t.number, t.context.over, outcome, null);
+        if (health != null) {
+            judged(health.tried(t.peer.id, outcome, now));
+        }
         forget(t.context);
     }
 
@@ -410,13 +469,32 @@
                 p.address = e.address();
             }
             p.state = e.state();
-            workers.add(new Worker(p.id, e.weight(), e.state(), e.startedAtUs(), e.zone(), e.cell(), e.kind()));
+            p.listed = new Worker(p.id, e.weight(), e.state(), e.startedAtUs(), e.zone(), e.cell(), e.kind());
+            workers.add(health == null ? p.listed : health.seen(p.listed));
         }
         peers.values().stream().filter(p -> p.state != State.READY).forEach(pool::closeIdle);
         peers.values().removeIf(p -> p.state == State.GONE && p.open == 0);
         module.listed(now, news, workers);
-        effects.add(new Effect.Log("discovery: list " + list.version() + " " + news + ", "
-                + peers.values().stream().filter(p -> p.state == State.READY).count() + " peers up"));
+        effects.add(new Effect.Log(LogEvent.DISCOVERY_LIST, list.version(), news,
+                peers.values().stream().filter(p -> p.state == State.READY).count()));
+        if (health != null) {
+            judged(health.listed(peers.values(), now));
+        }
+    }
+
+    /** Peers that look dead, or alive again: the module hears it as news of the list, and of ready ones only. */
+    private void judged(List<HealthBoard.Change> changes) {
+        List<Worker> workers = new ArrayList<>();
+        for (HealthBoard.Change c : changes) {
+            Peer p = peers.get(c.peer());
+            if (p != null && p.state == State.READY) {
+                effects.add(new Effect.Log(LogEvent.PEER_HEALTH, p.name, c.usable() ? "UP" : c.health(), c.reason()));
+                workers.add(health.seen(p.listed));
+            }
+        }
+        if (!workers.isEmpty()) {
+            module.listed(now, ListNews.CHANGES, workers);
+        }
     }
 
     // ---------------------------------------------------------------- the module's actions
--- a/src/main/java/granitefold/core/Watch.java
+++ b/src/main/java/granitefold/core/Watch.java
@@ -1,5 +1,6 @@
 package granitefold.core;
 
+import granitefold.logging.LogEvent;
 import java.util.List;
 
 /** The watch on discovery: open or waiting to be opened again. The last list stands meanwhile. */
@@ -25,6 +26,10 @@
         this.effects = effects;
     }
 
+    long version() {
+        return version;
+    }
+
     void open(long now) {
         opened++;
         heardAt = now;
@@ -52,7 +57,7 @@
 
     void ended(String why, long now) {
         int which = ++opened;
-        effects.add(new Effect.Log("discovery: watch ended: " + why));
+        effects.add(new Effect.Log(LogEvent.DISCOVERY_ENDED, why));
         timers.at(now + pause, t -> {
             // else it has moved meanwhile, and is open
             if (which == opened) {
--- /dev/null
+++ b/src/main/java/granitefold/health/HealthSettings.java
@@ -0,0 +1,24 @@
+package granitefold.health;
+
+/**
+ * The figures of peer health; times are microseconds.
+ *
+ * @param probes whether peers are probed at all
+ * @param intervalUs time between two probes of a peer
+ * @param jitter share of the interval that a probe is early or late by, at the most
+ * @param timeoutUs a probe without an answer by then has failed
+ * @param rise probes in a row that bring a peer back
+ * @param fall probes in a row that take it out
+ * @param atOnce probes that are out at the same time, at the most
+ * @param panic share of ready peers that may look dead; past it none is taken to be
+ * @param slowStart whether a peer that came back is told to the module as just started
+ * @param failures tries in a row that must fail for a peer to be ejected; 0: never
+ * @param ejectUs how long the first ejection lasts; the next ones last so many times that
+ * @param ejectMostUs the longest ejection
+ * @param ejectShare share of ready peers that may be ejected at once; one always may, if there are others
+ */
+public record HealthSettings(boolean probes, long intervalUs, double jitter, long timeoutUs, int rise, int fall, int atOnce,
+        double panic, boolean slowStart, int failures, long ejectUs, long ejectMostUs, double ejectShare) {
+    public static final HealthSettings DEFAULTS = new HealthSettings(false, 2_000_000, 0.2, 1_000_000, 2, 3, 4, 0.5, true,
+            0, 10_000_000, 60_000_000, 0.1);
+}
--- /dev/null
+++ b/src/main/java/granitefold/logging/LogEvent.java
@@ -0,0 +1,66 @@
+package granitefold.logging;
+
+import java.util.List;
+
+/**
+ * Everything that the program logs, with the names of the fields: text by default, a JSON object a line where the
+ * operator asks for it. Nothing here is logged for single requests. docs/ON-CALL.md says what to do about each.
+ */
+public enum LogEvent {
+    LISTENING("listening", Level.INFO, "listening on {}", "address"),
+    PHASE("phase", Level.INFO, "phase: {}", "phase"),
+    DISCOVERY_LIST("discovery.list", Level.INFO, "discovery: list {} {}, {} peers up", "version", "news", "up"),
+    DISCOVERY_ENDED("discovery.ended", Level.INFO, "discovery: watch ended: {}", "reason"),
+    CONFIGURATION_READ("configuration.read", Level.INFO, "configuration: read anew, discovery at {}", "discovery"),
+    CONFIGURATION_KEPT("configuration.kept", Level.WARN, "configuration: kept as it was: {}", "reason"),
+    OPERATOR_READ("operator.read", Level.INFO, "operator: read anew from {}", "file"),
+    OPERATOR_KEPT("operator.kept", Level.WARN, "operator: kept as it was: {}", "reason"),
+    OPERATOR_RESTART("operator.restart", Level.WARN, "operator: {} takes effect at the next start", "key"),
+    SIBLINGS_LOST("siblings.lost", Level.WARN, "siblings: cannot listen on {}: {}", "address", "reason"),
+    AVAILABILITY("availability", Level.INFO, "availability: {} to {}, weight {}: {}", "from", "to", "weight", "reason"),
+    CHECKS_LISTENING("checks.listening", Level.INFO, "checks: {} on {}", "front", "address"),
+    CHECKS_FAILED("checks.failed", Level.WARN, "checks: {} cannot listen on {}: {}", "front", "address", "reason"),
+    CHECKS_CROWDED("checks.crowded", Level.WARN, "checks: {} closed its oldest connection for want of room", "front"),
+    CHECKS_REFUSED("checks.refused", Level.INFO, "checks: {} refused what {} sent: {}", "front", "address", "reason"),
+    CONTROL("control", Level.INFO, "control: {}", "command"),
+    CONTROL_FAILED("control.failed", Level.WARN, "control: no socket at {}: {}", "path", "reason"),
+    CLIENT_REFUSED("client.refused", Level.INFO, "client: {} refused: {}", "address", "reason"),
+    PEER_HEALTH("peer.health", Level.INFO, "peer: {} is {}: {}", "peer", "health", "reason"),
+    PEER_PANIC("peer.panic", Level.WARN, "peers: {} of {} look dead, so none is taken to be", "down", "ready"),
+    PROBES_OFF("probes.off", Level.WARN, "probes: off, {}", "reason"),
+    INTERNAL_ERROR("internal.error", Level.ERROR, "internal error on {}", "what"),
+    REPEATED("repeated", Level.INFO, "the last line of {} stands for {} more", "event", "count");
+
+    /** How much it matters. */
+    public enum Level { INFO, WARN, ERROR }
+
+    private final String id;
+    private final Level level;
+    private final String text;
+    private final List<String> fields;
+
+    LogEvent(String id, Level level, String text, String... fields) {
+        this.id = id;
+        this.level = level;
+        this.text = text;
+        this.fields = List.of(fields);
+    }
+
+    /** Its name in JSON lines; it does not change between versions. */
+    public String id() {
+        return id;
+    }
+
+    public Level level() {
+        return level;
+    }
+
+    /** The line, with {@code {}} for each field. */
+    public String text() {
+        return text;
+    }
+
+    public List<String> fields() {
+        return fields;
+    }
+}
--- /dev/null
+++ b/src/main/java/granitefold/logging/package-info.java
@@ -0,0 +1,2 @@
+/** What the program says of itself: every event and its fields are declared once, in {@code LogEvent}. */
+package granitefold.logging;
--- a/src/main/java/granitefold/net/ClientConnection.java
+++ b/src/main/java/granitefold/net/ClientConnection.java
@@ -6,9 +6,14 @@
 import granitefold.core.Submission;
 import granitefold.wire.BadRequest;
 import granitefold.wire.ClientRequest;
+import granitefold.logging.EventLog;
+import granitefold.logging.LogEvent;
 import granitefold.wire.HttpMessages;
+import granitefold.wire.ProxyHeader;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import org.eclipse.jetty.http.HttpCompliance;
@@ -58,11 +63,23 @@
     private int held;
     /** Bytes thrown away after the last answer. */
     private int discarded;
+    /** A PROXY header must come first, and has not yet. */
+    private boolean headed;
+    /** Who has really connected, where a proxy told. */
+    private SocketAddress source;
+    /** The answer is to carry load metrics. */
+    private boolean metrics;
 
     ClientConnection(EndPoint endPoint, Loop loop, long id) {
         super(endPoint);
         this.loop = loop;
         this.id = id;
+        headed = loop.clientRules().proxy();
+        source = endPoint.getRemoteSocketAddress();
+    }
+
+    boolean wantsMetrics() {
+        return metrics;
     }
 
     long id() {
@@ -109,6 +126,9 @@
     }
 
     private boolean step() throws IOException {
+        if (headed && in.hasRemaining() && !header()) {
+            return false;
+        }
         if (state == State.READING && in.hasRemaining()) {
             parser.parseNext(in);
             if (complete || bad != null) {
@@ -140,6 +160,36 @@
         return n > 0;
     }
 
+    /** Takes the PROXY header off the start; false where the connection ends for want of one. */
+    private boolean header() throws IOException {
+        try {
+            InetSocketAddress proxy = (InetSocketAddress) source;
+            if (!loop.clientRules().from().isEmpty() && !loop.clientRules().from().contains(proxy.getAddress())) {
+                throw new BadRequest(400, "not one of clients.proxy-from");
+            }
+            ProxyHeader header = ProxyHeader.decode(in);
+            if (header != null) {
+                headed = false;
+                source = header.source() == null ? source : header.source();
+                return true;
+            }
+            int n = BufferUtil.isFull(in) ? -1 : getEndPoint().fill(in);
+            if (n < 0) {
+                throw new BadRequest(400, "closed within its PROXY header");
+            }
+            if (n == 0) {
+                awaitReadable();
+            }
+            // what came is looked at in the next step
+            return n > 0;
+        } catch (BadRequest e) {
+            // section 2 of the protocol: the receiver drops the connection, and says nothing to who may be anybody
+            EventLog.log(LogEvent.CLIENT_REFUSED, source, e.getMessage());
+            gone();
+            return false;
+        }
+    }
+
     /** Makes room to read on while a request is unanswered: only by reading is a client's leaving seen. */
     private boolean widen() {
         int more = in.capacity();
@@ -194,8 +244,12 @@
             }
             Submission s = ClientRequest.decode(method, target, head, body.toByteArray(), loop.words());
             body = null;
+            metrics = loop.clientRules().orca() && "text".equalsIgnoreCase(head.get(Insight.METRICS_WANTED));
             loop.post(new Event.RequestArrived(id, s));
         } catch (BadRequest e) {
+            if (loop.clientRules().proxy()) {
+                EventLog.log(LogEvent.CLIENT_REFUSED, source, e.getMessage());
+            }
             // what follows may not be what it looks like either: the connection ends
             answerHere(e.status() == 503 ? HttpMessages.answer(FinalAnswer.Rejected.BY_LIMIT, true)
                     : HttpMessages.plain(e.status(), e.getMessage(), true), true);
--- a/src/main/java/granitefold/net/Loop.java
+++ b/src/main/java/granitefold/net/Loop.java
@@ -4,7 +4,13 @@
 import granitefold.core.Event;
 import granitefold.core.Phase;
 import granitefold.core.Reducer;
+import granitefold.availability.AvailabilitySettings;
+import granitefold.availability.Wish;
+import granitefold.logging.EventLog;
+import granitefold.logging.LogEvent;
+import granitefold.operator.Operator;
 import granitefold.wire.Address;
+import granitefold.wire.BadWire;
 import granitefold.wire.Config;
 import granitefold.wire.HttpMessages;
 import granitefold.wire.Vocabulary;
@@ -17,20 +23,18 @@
 import java.nio.file.Path;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * The one loop: it brings events to the reducer and does what that asks for. All but the methods marked so runs on
  * the selector's thread.
  */
-public final class Loop {
-    private static final Logger LOG = LoggerFactory.getLogger("granitefold");
+public final class Loop implements Sockets.Host {
     private static final int BACKLOG = 1024;
     /**
      * Descriptors kept for files, the selector, the listener, the watch and datagrams (about 20), for a round of new
@@ -44,11 +48,12 @@
 
     private final Config config;
     private final Clock clock = new Clock();
-    private final Sockets sockets = new Sockets(this);
+    private final Sockets sockets = new Sockets("dispatcher", this);
     private final Reducer reducer;
     private final ArrayDeque<Event> events = new ArrayDeque<>();
     private final Map<Long, ClientConnection> clients = new HashMap<>();
     private final Map<Long, PeerLink> peers = new HashMap<>();
+    private final Map<Long, ProbeLink> probes = new HashMap<>(0);
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final long heldMost = Runtime.getRuntime().maxMemory() / HELD_SHARE;
     private ServerSocketChannel listener;
@@ -59,13 +64,31 @@
     private long wakeAt = Long.MAX_VALUE;
     private long lastClient;
     private long heldBytes;
+    /** What the operator's file adds; null where no part of it needs the loop. */
+    private final Insight insight;
+    private final Operator operator;
 
+    /** As the platform starts it. */
     public Loop(Config config) {
+        this(config, Operator.NONE);
+    }
+
+    public Loop(Config config, Operator operator) {
         this.config = config;
+        this.operator = operator;
+        insight = operator.tells() ? new Insight(clock, operator.clients(), config.cores()) : null;
+        if (operator.health() != null && operator.health().probes() && !config.probing()) {
+            EventLog.log(LogEvent.PROBES_OFF, "the platform's settings forbid them");
+        }
         // a request holds a connection on either side
-        int each = Math.max(SPARE + 1, (config.sockets() - RESERVED) / 2);
+        int checks = operator.descriptors();
+        if (checks > config.sockets() / 4) {
+            throw new BadWire("checks may hold " + checks + " descriptors, more than a quarter of limits.sockets, "
+                    + config.sockets());
+        }
+        int each = Math.max(SPARE + 1, (config.sockets() - RESERVED - checks) / 2);
         reducer = new Reducer(config.words().settings(), new Reducer.Bounds(each, each - SPARE, each,
-                config.connectTimeoutUs(), config.idleCloseUs()), config.seed());
+                config.connectTimeoutUs(), config.idleCloseUs()), config.seed(), operator.extras(config.probing()));
     }
 
     /** Opens the sockets and begins; from the main thread. */
@@ -74,14 +97,14 @@
         listener.setOption(StandardSocketOptions.SO_REUSEADDR, true);
         listener.bind(config.listen(), BACKLOG);
         listener.configureBlocking(false);
-        LOG.info("listening on {}", Address.text(address()));
+        EventLog.log(LogEvent.LISTENING, Address.text(address()));
         sockets.start();
         sockets.submit(() -> {
             if (config.siblingListen() != null) {
                 openSiblings();
             }
             post(new Event.Opened(config.known(), Address.text(config.discovery())));
-            sockets.listen(listener);
+            sockets.listen(listener, this::accepted);
         });
     }
 
@@ -97,10 +120,10 @@
     public synchronized void reload(Path file) {
         try {
             String discovery = Address.text(Config.read(file).discovery());
-            LOG.info("configuration: read anew, discovery at {}", discovery);
+            EventLog.log(LogEvent.CONFIGURATION_READ, discovery);
             sockets.submit(() -> post(new Event.DiscoveryMoved(discovery)));
         } catch (RuntimeException e) {
-            LOG.warn("configuration: kept as it was: {}", e.getMessage());
+            EventLog.log(LogEvent.CONFIGURATION_KEPT, e.getMessage());
         }
     }
 
@@ -110,6 +133,32 @@
         stopped.await(mostMs, TimeUnit.MILLISECONDS);
     }
 
+    public String name() {
+        return config.name();
+    }
+
+    /** How the dispatcher stands, readable from any thread; null where nothing tells it. */
+    public Insight insight() {
+        return insight;
+    }
+
+    /** An operator's word; from any thread. {@code then} runs on the loop's, once it has been taken in. */
+    public void wish(Wish wish, Runnable then) {
+        sockets.submit(() -> {
+            post(new Event.Wished(wish));
+            then.run();
+        });
+    }
+
+    /** Other figures of availability; from any thread. */
+    public void retune(AvailabilitySettings availability) {
+        sockets.submit(() -> post(new Event.Retuned(availability)));
+    }
+
+    Operator.Clients clientRules() {
+        return operator.clients();
+    }
+
     Phase phase() {
         return reducer.phase();
     }
@@ -143,7 +192,7 @@
             reducer.reduce(event, clock.micros()).forEach(this::attempt);
         } catch (RuntimeException e) {
             // one broken event must not end the program: contexts it leaves behind are answered by their timers
-            LOG.error("internal error on {}", event.getClass().getSimpleName(), e);
+            EventLog.error(LogEvent.INTERNAL_ERROR, e, event.getClass().getSimpleName());
         }
     }
 
@@ -152,18 +201,23 @@
         try {
             perform(effect);
         } catch (RuntimeException e) {
-            LOG.error("internal error on {}", effect.getClass().getSimpleName(), e);
+            EventLog.error(LogEvent.INTERNAL_ERROR, e, effect.getClass().getSimpleName());
         }
     }
 
     /** Milliseconds, rounded up, until the reducer is to be woken. */
-    long untilWake() {
+    @Override
+    public long untilWake() {
         return wakeAt == Long.MAX_VALUE ? TimeUnit.SECONDS.toMillis(1)
                 : Math.max(0, (wakeAt - clock.micros() + 999) / 1000);
     }
 
-    void wake() {
+    @Override
+    public void wake() {
         if (untilWake() <= 0) {
+            if (insight != null) {
+                insight.woken(wakeAt);
+            }
             wakeAt = Long.MAX_VALUE;
             post(new Event.Woken());
         }
@@ -174,7 +228,8 @@
         if (effect instanceof Effect.Answer e) {
             ClientConnection client = clients.get(e.client());
             if (client != null) {
-                client.answer(HttpMessages.answer(e.answer(), e.close() || client.wantsClose()), e.close());
+                client.answer(HttpMessages.answer(e.answer(), insight == null ? List.of() : insight.fields(client),
+                        e.close() || client.wantsClose()), e.close());
             }
         } else if (effect instanceof Effect.TimeOutClient e) {
             ClientConnection client = clients.get(e.client());
@@ -221,8 +276,22 @@
         } else if (effect instanceof Effect.Stop) {
             stopping = true;
             answered();
+        } else if (effect instanceof Effect.Sample) {
+            post(new Event.Sampled(insight.sample((double) (clients.size() + peers.size() + RESERVED)
+                    / config.sockets())));
+        } else if (effect instanceof Effect.Publish e) {
+            insight.publish(e.report());
+        } else if (effect instanceof Effect.Probe e) {
+            ProbeLink probe = new ProbeLink(this, e.peer(), e.address(), operator.probe().path());
+            probes.put(e.peer(), probe);
+            probe.connect(sockets);
+        } else if (effect instanceof Effect.EndProbe e) {
+            ProbeLink probe = probes.remove(e.peer());
+            if (probe != null) {
+                probe.close();
+            }
         } else if (effect instanceof Effect.Log e) {
-            LOG.info(e.line());
+            EventLog.log(e.event(), e.values());
         }
     }
 
@@ -230,7 +299,7 @@
         try {
             listener.close();
         } catch (IOException e) {
-            LOG.warn("listener: {}", e.toString());
+            EventLog.error(LogEvent.INTERNAL_ERROR, e, "listener");
         }
         for (ClientConnection client : clients.values().toArray(ClientConnection[]::new)) {
             client.closeIfIdle();
@@ -279,6 +348,14 @@
     }
 
     // ---------------------------------------------------------------- peers, discovery, siblings
+    /** A probe has come to its end by itself. */
+    void probed(ProbeLink probe, boolean well, String reason) {
+        if (probes.remove(probe.peer(), probe)) {
+            probe.close();
+            post(new Event.Probed(probe.peer(), well, reason));
+        }
+    }
+
     /** A peer connection ended by itself. */
     void closed(PeerLink link) {
         if (peers.remove(link.id(), link)) {
@@ -312,12 +389,12 @@
 
                 @Override
                 public void failed(Throwable why) {
-                    LOG.warn("siblings: {}", why.toString());
+                    EventLog.log(LogEvent.SIBLINGS_LOST, Address.text(config.siblingListen()), why);
                 }
             });
         } catch (IOException e) {
             // words between siblings may be lost at any time: the program serves without them
-            LOG.warn("siblings: cannot listen on {}: {}", config.siblingListen(), e.toString());
+            EventLog.log(LogEvent.SIBLINGS_LOST, Address.text(config.siblingListen()), e);
         }
     }
 }
--- a/src/main/java/granitefold/net/LoopConnection.java
+++ b/src/main/java/granitefold/net/LoopConnection.java
@@ -6,11 +6,11 @@
 import org.eclipse.jetty.util.thread.Invocable.InvocationType;
 
 /** A connection whose callbacks say that they never block, so that Jetty runs them right where it selects. */
-abstract class LoopConnection extends AbstractConnection {
+public abstract class LoopConnection extends AbstractConnection {
     private final Callback readable =
             Callback.from(InvocationType.NON_BLOCKING, this::onFillable, this::onFillInterestedFailed);
 
-    LoopConnection(EndPoint endPoint) {
+    protected LoopConnection(EndPoint endPoint) {
         super(endPoint, Runnable::run);
     }
 
@@ -21,13 +21,13 @@
     }
 
     /** Waits for more to read, if it does not wait already. */
-    final void awaitReadable() {
+    protected final void awaitReadable() {
         if (!isFillInterested()) {
             fillInterested(readable);
         }
     }
 
-    static Callback whenWritten(Runnable written, Runnable failed) {
+    protected static Callback whenWritten(Runnable written, Runnable failed) {
         return Callback.from(InvocationType.NON_BLOCKING, written, why -> failed.run());
     }
 }
--- /dev/null
+++ b/src/main/java/granitefold/net/ProbeLink.java
@@ -0,0 +1,47 @@
+package granitefold.net;
+
+import granitefold.wire.Address;
+import granitefold.wire.HttpMessages;
+
+/** One probe of a peer: a GET on a connection of its own, which must be answered by 200. */
+final class ProbeLink extends Link {
+    private static final int LINE_MOST = 4096;
+
+    private final Loop loop;
+    private final long peer;
+    private final String address;
+    private final String path;
+
+    ProbeLink(Loop loop, long peer, String address, String path) {
+        super(Address.of(address), LINE_MOST);
+        this.loop = loop;
+        this.peer = peer;
+        this.address = address;
+        this.path = path;
+    }
+
+    long peer() {
+        return peer;
+    }
+
+    @Override
+    void connected() {
+        write(HttpMessages.get(path, address), () -> { });
+    }
+
+    @Override
+    void status(int status, String turnedAway) {
+        loop.probed(this, status == 200, "its probe was answered by " + status);
+    }
+
+    @Override
+    void line(byte[] buf, int from, int length) { }
+
+    @Override
+    void answered(boolean reusable) { }
+
+    @Override
+    void ended(String why) {
+        loop.probed(this, false, "its probe ended: " + why);
+    }
+}
--- a/src/main/java/granitefold/net/Sockets.java
+++ b/src/main/java/granitefold/net/Sockets.java
@@ -23,47 +23,75 @@
  * Jetty's selector manager, cut down to one selector on one thread. Tasks that Jetty would hand to a pool run on
  * that thread too, between two selects, so that connections and the reducer need no locks.
  */
-final class Sockets extends SelectorManager {
+public final class Sockets extends SelectorManager {
     static final int ACCEPTED_A_ROUND = 8;
 
-    private final Loop loop;
+    private final Host host;
 
-    Sockets(Loop loop) {
-        this(loop, new OneThread());
+    /** What goes on beside the sockets, on the same thread. */
+    public interface Host {
+        /** Milliseconds, rounded up, until {@link #wake} is to be called; at most 1000. */
+        long untilWake();
+
+        void wake();
+    }
+
+    /** Takes a connection that a listener has accepted. */
+    public interface Taking {
+        /** Whether there is room for another now; asked before each. */
+        default boolean ready() {
+            return true;
+        }
+
+        void take(SocketChannel channel) throws IOException;
+    }
+
+    public Sockets(String name, Host host) {
+        this(host, new OneThread(name));
     }
 
-    private Sockets(Loop loop, OneThread thread) {
+    private Sockets(Host host, OneThread thread) {
         super(thread, new NoTimeouts(), 1);
-        this.loop = loop;
+        this.host = host;
         thread.sockets = this;
     }
 
     /** Runs a task on the selector's thread, from any thread. */
-    void submit(Runnable task) {
+    public void submit(Runnable task) {
         chooseSelector().submit(selector -> task.run());
     }
 
     /** Takes new connections from a listener. */
-    void listen(ServerSocketChannel listener) {
+    public void listen(ServerSocketChannel listener, Taking taking) {
         chooseSelector().submit(selector -> {
             try {
-                listener.register(selector, SelectionKey.OP_ACCEPT, new Acceptor(listener));
+                listener.register(selector, SelectionKey.OP_ACCEPT, new Acceptor(listener, taking));
             } catch (ClosedChannelException e) {
                 // the program ends already
             }
         });
     }
 
+    /** Stops or goes on taking connections from a listener; on the selector's thread. */
+    public void pause(ServerSocketChannel listener, boolean on) {
+        chooseSelector().submit(selector -> {
+            SelectionKey key = listener.keyFor(selector);
+            if (key != null && key.isValid()) {
+                key.interestOps(on ? 0 : SelectionKey.OP_ACCEPT);
+            }
+        });
+    }
+
     @Override
     protected ManagedSelector newSelector(int id) {
         return new ManagedSelector(this, id) {
             /** A select that also ends when the reducer is to be woken. */
             @Override
             protected int nioSelect(Selector selector, boolean now) throws IOException {
-                long wait = loop.untilWake();
+                long wait = host.untilWake();
                 int n = now || wait <= 0 ? selector.selectNow() : selector.select(wait);
-                if (loop.untilWake() <= 0) {
-                    submit(s -> loop.wake());
+                if (host.untilWake() <= 0) {
+                    submit(s -> host.wake());
                 }
                 return n;
             }
@@ -90,20 +118,22 @@
     /** Takes in a few new clients a round: a flood must not use up the descriptors before others are closed. */
     private final class Acceptor implements ManagedSelector.Selectable {
         private final ServerSocketChannel listener;
+        private final Taking taking;
 
-        Acceptor(ServerSocketChannel listener) {
+        Acceptor(ServerSocketChannel listener, Taking taking) {
             this.listener = listener;
+            this.taking = taking;
         }
 
         @Override
         public Runnable onSelected() {
             try {
-                for (int i = 0; i < ACCEPTED_A_ROUND; i++) {
+                for (int i = 0; i < ACCEPTED_A_ROUND && taking.ready(); i++) {
                     SocketChannel channel = listener.accept();
                     if (channel == null) {
                         break;
                     }
-                    loop.accepted(channel);
+                    taking.take(channel);
                 }
             } catch (IOException e) {
                 // the client has gone again, or the listener; the next round tells
@@ -119,7 +149,7 @@
     }
 
     /** What a channel is opened for. */
-    interface Opening {
+    public interface Opening {
         Connection opened(EndPoint endPoint);
 
         void failed(Throwable why);
@@ -128,12 +158,17 @@
     /** The first task is the selector's own loop and gets the thread; all later ones are queued to it. */
     private static final class OneThread implements Executor {
         private Sockets sockets;
+        private final String name;
         private Thread thread;
 
+        OneThread(String name) {
+            this.name = name;
+        }
+
         @Override
         public synchronized void execute(Runnable task) {
             if (thread == null) {
-                thread = new Thread(task, "dispatcher");
+                thread = new Thread(task, name);
                 thread.start();
             } else {
                 sockets.submit(task);
--- /dev/null
+++ b/src/main/java/granitefold/operator/Operator.java
@@ -0,0 +1,79 @@
+package granitefold.operator;
+
+import granitefold.availability.AvailabilitySettings;
+import granitefold.core.Extras;
+import granitefold.health.HealthSettings;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.Set;
+
+/**
+ * What the operator has set. A part that is off is null.
+ *
+ * @param availability the machine's figures, used where a part below needs them
+ * @param health probes and ejection of peers
+ */
+public record Operator(Log log, Agent agent, Http http, Control control, Clients clients, AvailabilitySettings availability,
+        HealthSettings health, Probe probe) {
+    /** Everything off: the platform's start. */
+    public static final Operator NONE = new Operator(new Log(false), null, null, null,
+            new Clients(false, Set.of(), false, false), AvailabilitySettings.DEFAULTS, null, null);
+
+    /** Eight connections, the listener and the lock; a selector's own. */
+    private static final int CONTROL_DESCRIPTORS = 10, SELECTOR_DESCRIPTORS = 3;
+
+    /** {@code json}: an object a line instead of text. */
+    public record Log(boolean json) { }
+
+    /**
+     * Bounds of a listener for checks.
+     *
+     * @param connections most connections open at once
+     * @param perS most connections accepted a second; further ones wait in the backlog
+     * @param timeoutUs longest life of a connection, idle or not
+     */
+    public record Bounds(int connections, int perS, long timeoutUs) { }
+
+    /** HAProxy's agent-check; {@code readyUs}: how long {@code ready} is said after a start or a withdrawn drain. */
+    public record Agent(InetSocketAddress listen, Bounds bounds, long readyUs) { }
+
+    /** Checks over HTTP; {@code drainStatus}: what a draining dispatcher answers, 404 or 503. */
+    public record Http(InetSocketAddress listen, Bounds bounds, int drainStatus) { }
+
+    public record Control(Path socket) { }
+
+    /** {@code from}: addresses that may send a PROXY header; empty: any. */
+    public record Clients(boolean proxy, Set<InetAddress> from, boolean envoy, boolean orca) { }
+
+    /** How a peer is probed over HTTP: a GET of this path must be answered by 200. */
+    public record Probe(String path) { }
+
+    /** There is a listener to open. */
+    public boolean checks() {
+        return agent != null || http != null || control != null;
+    }
+
+    /** Something tells how the dispatcher stands. */
+    public boolean tells() {
+        return checks() || clients.envoy() || clients.orca();
+    }
+
+    /** Descriptors that checks and probes may hold at the most. */
+    public int descriptors() {
+        return (agent == null ? 0 : agent.bounds().connections() + 1) + (http == null ? 0 : http.bounds().connections() + 1)
+                + (control == null ? 0 : CONTROL_DESCRIPTORS) + (checks()
+                ? SELECTOR_DESCRIPTORS : 0) + (health != null && health.probes() ? health.atOnce() : 0);
+    }
+
+    /** What the core takes of it; {@code probing}: whether the platform allows probes. */
+    public Extras extras(boolean probing) {
+        HealthSettings h = health;
+        if (h != null && h.probes() && !probing) {
+            h = h.failures() == 0 ? null : new HealthSettings(false, h.intervalUs(), h.jitter(), h.timeoutUs(), h.rise(),
+                    h.fall(), h.atOnce(), h.panic(), h.slowStart(), h.failures(), h.ejectUs(), h.ejectMostUs(),
+                    h.ejectShare());
+        }
+        return new Extras(tells() ? availability : null, h);
+    }
+}
--- a/src/main/java/granitefold/wire/Config.java
+++ b/src/main/java/granitefold/wire/Config.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonStreamContext;
 import com.fasterxml.jackson.core.JsonToken;
 import granitefold.core.PeerList;
 import java.io.IOException;
@@ -9,28 +10,51 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 
 /** What a dispatcher is told at its start. {@code siblingListen} is null where there are no datagrams. */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
         InetSocketAddress siblingListen, List<InetSocketAddress> siblings, PeerList known, Vocabulary words,
-        long connectTimeoutUs, long idleCloseUs) {
+        long connectTimeoutUs, long idleCloseUs, double cores,
+        boolean probing) {
 
     private static final JsonFactory JSON = new JsonFactory();
     private static final int SOCKETS_UNTOLD = 1024;
 
-    /** Reads the file; whatever is wrong with it is told in one line by {@link BadWire}. */
+    /** The settings that hold, as {@code granitefold check} prints them. */
+    public Map<String, String> effective() {
+        Map<String, String> all = new LinkedHashMap<>();
+        all.put("name", name);
+        all.put("listen", Address.text(listen));
+        all.put("discovery", Address.text(discovery));
+        all.put("limits.sockets", Integer.toString(sockets));
+        all.put("limits.cores", Double.toString(cores));
+        all.put("peer_listen", siblingListen == null ? "off" : Address.text(siblingListen));
+        all.put("peers", siblings.stream().map(Address::text).toList().toString());
+        all.put("known", "version " + known.version() + ", " + known.entries().size() + " peers");
+        all.put("settings.classes", words.classes().keySet().stream().sorted().toList().toString());
+        all.put("settings.tenants", words.tenants().keySet().stream().sorted().toList().toString());
+        all.put("settings.limits.connectTimeoutMs", Long.toString(connectTimeoutUs / 1000));
+        all.put("settings.limits.idleCloseMs", Long.toString(idleCloseUs / 1000));
+        all.put("settings.limits.probing", Boolean.toString(probing));
+        return all;
+    }
+
+    /** Reads the file; whatever is wrong with it is told in one line, with file, line and key, by {@link BadWire}. */
     public static Config read(Path file) {
         byte[] text;
         try {
             text = Files.readAllBytes(file);
         } catch (IOException e) {
-            throw new BadWire("cannot read the configuration: " + e.getMessage());
+            throw new BadWire(file + ": cannot be read: " + e);
         }
         // two passes: the list is read with the names in the settings, which may come later in the file
         Vocabulary words = null;
         SettingsReader setup = null;
-        try (JsonParser p = JSON.createParser(text)) {
+        JsonParser p = parser(text, file);
+        try (p) {
             for (String key = first(p); key != null; key = next(p)) {
                 if (key.equals("settings")) {
                     setup = new SettingsReader(p);
@@ -39,19 +63,40 @@
                     p.skipChildren();
                 }
             }
-        } catch (IOException e) {
-            throw new BadWire("the configuration is not JSON: " + e.getMessage().lines().findFirst().orElse(""));
+        } catch (IOException | BadWire e) {
+            throw at(file, p, e);
         }
         if (words == null || words.classes().isEmpty()) {
-            throw new BadWire("the configuration has no settings with classes");
+            throw new BadWire(file + ": settings: there are no classes");
         }
-        try (JsonParser p = JSON.createParser(text)) {
-            return read(p, words, setup);
+        JsonParser again = parser(text, file);
+        try (again) {
+            return read(again, words, setup);
+        } catch (IOException | BadWire e) {
+            throw at(file, again, e);
+        }
+    }
+
+    private static JsonParser parser(byte[] text, Path file) {
+        try {
+            return JSON.createParser(text);
         } catch (IOException e) {
-            throw new BadWire("the configuration is not JSON");
+            throw new BadWire(file + ": is not JSON");
         }
     }
 
+    /** The problem in one line, with the place that reading had come to. */
+    private static BadWire at(Path file, JsonParser p, Exception e) {
+        StringBuilder key = new StringBuilder();
+        for (JsonStreamContext c = p.getParsingContext(); c != null; c = c.getParent()) {
+            if (c.getCurrentName() != null) {
+                key.insert(0, c.getCurrentName() + (key.isEmpty() ? "" : "."));
+            }
+        }
+        String what = e instanceof BadWire ? e.getMessage() : "not JSON: " + e.getMessage().lines().findFirst().orElse("");
+        return new BadWire(file + ":" + p.currentLocation().getLineNr() + ": " + (key.isEmpty() ? "" : key + ": ") + what);
+    }
+
     private static Config read(JsonParser p, Vocabulary words, SettingsReader setup) throws IOException {
         String name = "";
         InetSocketAddress listen = null;
@@ -61,6 +106,7 @@
         PeerList known = new PeerList(0, true, List.of());
         long seed = 0;
         int sockets = SOCKETS_UNTOLD;
+        double cores = 1;
         for (String key = first(p); key != null; key = next(p)) {
             switch (key) {
                 case "name" -> name = p.getValueAsString("");
@@ -74,7 +120,17 @@
                         siblings.add(Address.of(p.getValueAsString("")));
                     }
                 }
-                case "limits" -> sockets = sockets(p, sockets);
+                case "limits" -> {
+                    while (p.currentToken() != JsonToken.VALUE_NULL && p.nextToken() != JsonToken.END_OBJECT) {
+                        String limit = p.currentName();
+                        p.nextToken();
+                        switch (limit) {
+                            case "sockets" -> sockets = p.getValueAsInt(sockets);
+                            case "cores" -> cores = p.getValueAsDouble(cores);
+                            default -> p.skipChildren();
+                        }
+                    }
+                }
                 case "known" -> known = p.currentToken() == JsonToken.VALUE_NULL ? known : Listing.read(p, words);
                 default -> p.skipChildren();
             }
@@ -83,21 +139,8 @@
             throw new BadWire("the configuration needs listen and discovery");
         }
         return new Config(name, listen, discovery, seed, sockets, words.settings().limits().peers() ? siblingListen
-                : null, List.copyOf(siblings), known, words, setup.connectTimeoutUs(), setup.idleCloseUs());
-    }
-
-    private static int sockets(JsonParser p, int absent) throws IOException {
-        int sockets = absent;
-        while (p.currentToken() != JsonToken.VALUE_NULL && p.nextToken() != JsonToken.END_OBJECT) {
-            String name = p.currentName();
-            p.nextToken();
-            if (name.equals("sockets")) {
-                sockets = p.getValueAsInt(absent);
-            } else {
-                p.skipChildren();
-            }
-        }
-        return sockets;
+                : null, List.copyOf(siblings), known, words, setup.connectTimeoutUs(), setup.idleCloseUs(), cores > 0 ? cores : 1,
+                setup.probing());
     }
 
     private static long seed(String hex) {
--- a/src/main/java/granitefold/wire/HttpMessages.java
+++ b/src/main/java/granitefold/wire/HttpMessages.java
@@ -4,7 +4,9 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Locale;
+import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpGenerator;
 import org.eclipse.jetty.http.HttpHeader;
@@ -23,7 +25,13 @@
 
     /** A final answer to a client. */
     public static ByteBuffer[] answer(FinalAnswer answer, boolean close) {
+        return answer(answer, List.of(), close);
+    }
+
+    /** A final answer to a client, with these fields beside its own. */
+    public static ByteBuffer[] answer(FinalAnswer answer, List<HttpField> more, boolean close) {
         HttpFields.Mutable head = HttpFields.build();
+        more.forEach(head::add);
         if (answer instanceof FinalAnswer.Served served) {
             return response(200, head, served.result(), close);
         }
@@ -46,17 +54,28 @@
         return response(status, HttpFields.build(), text(text), close);
     }
 
-    private static byte[] text(String line) {
-        return (line + "\n").getBytes(StandardCharsets.UTF_8);
-    }
-
-    private static ByteBuffer[] response(int status, HttpFields.Mutable head, byte[] body, boolean close) {
+    /** An answer to a check; where only the head was asked for, the body is told by its length alone. */
+    public static ByteBuffer[] check(int status, HttpFields fields, byte[] body, boolean headOnly, boolean close) {
+        HttpFields.Mutable head = HttpFields.build(fields);
         if (close) {
             head.put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE);
         }
         MetaData.Response response = new MetaData.Response(status, null, HttpVersion.HTTP_1_1, head, body.length);
         return generate(HEAD_ROOM, body, (generator, header, content) ->
-                generator.generateResponse(response, false, header, null, content, true));
+                generator.generateResponse(response, headOnly, header, null, content, true));
+    }
+
+    /** A GET, as a probe sends it. */
+    public static ByteBuffer[] get(String path, String address) {
+        return request("GET", path, HttpFields.build().put(HttpHeader.HOST, address), new byte[0]);
+    }
+
+    private static byte[] text(String line) {
+        return (line + "\n").getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static ByteBuffer[] response(int status, HttpFields.Mutable head, byte[] body, boolean close) {
+        return check(status, head, body, false, close);
     }
 
     /** A request passed on to a peer at an address, which learns how long the dispatcher waits. */
--- a/src/main/java/granitefold/wire/SettingsReader.java
+++ b/src/main/java/granitefold/wire/SettingsReader.java
@@ -96,6 +96,11 @@
         return micros("limits.idleCloseMs", 10_000);
     }
 
+    /** Whether peers may be probed. */
+    boolean probing() {
+        return yes("limits.probing");
+    }
+
     private List<String> names(String list, String field) {
         List<String> names = new ArrayList<>();
         for (int i = 0; i < sizes.getOrDefault(list, 0); i++) {
