Stand-in balancer, cocineros and load; tests of the balancer checks by their hard cases

The tests found: the checks' thread never swept, so a paused listener stayed so and time limits did not hold (Checks.untilWake).

--- a/src/main/java/granitefold/net/checks/Checks.java
+++ b/src/main/java/granitefold/net/checks/Checks.java
@@ -44,7 +44,8 @@
     private volatile Front http;
     private volatile Front control;
     private ControlSocket socket;
-    private boolean busy;
+    /** When to look after time limits and paused listeners next ({@link System#nanoTime}). */
+    private long sweepAt = System.nanoTime();
     /** Until then {@code ready} is said to agents; whether a drain or maint was said since the last time. */
     private long readyUntil;
     private boolean away;
@@ -79,7 +80,7 @@
         agent = agentListener == null ? null : agent(agentListener, operator.agent());
         http = httpListener == null ? null : http(httpListener, operator.http());
         if (socket != null) {
-            control = new Front("control", socket.listener, CONTROL, sockets,
+            control = new Front("control", socket.listener, CONTROL, sockets, this::stir,
                     (e, f) -> new ControlConnection(e, f, this::command));
             control.begin();
             EventLog.log(LogEvent.CHECKS_LISTENING, "control", operator.control().socket());
@@ -115,7 +116,7 @@
 
     private Front front(String what, ServerSocketChannel listener, Operator.Bounds bounds,
             BiFunction<EndPoint, Front, CheckConnection> make) {
-        Front front = new Front(what, listener, bounds, sockets, make);
+        Front front = new Front(what, listener, bounds, sockets, this::stir, make);
         front.begin();
         try {
             EventLog.log(LogEvent.CHECKS_LISTENING, what, Address.text((InetSocketAddress) listener.getLocalAddress()));
@@ -191,24 +192,27 @@
     // ---------------------------------------------------------------- time
     @Override
     public long untilWake() {
-        return busy ? SWEEP_MS : IDLE_MS;
+        return Math.max(0, (sweepAt - System.nanoTime() + 999_999) / 1_000_000);
     }
 
     @Override
     public void wake() {
-        sweep();
+        if (untilWake() <= 0) {
+            boolean busy = false;
+            for (Front f : new Front[] {agent, http, control}) {
+                busy |= f != null && f.sweep();
+            }
+            sweepAt = System.nanoTime() + (busy ? SWEEP_MS : IDLE_MS) * 1_000_000;
+        }
     }
 
-    private void sweep() {
-        busy = false;
-        for (Front f : new Front[] {agent, http, control}) {
-            busy |= f != null && f.sweep();
-        }
+    /** Something has come that takes looking after: a connection, or a listener that is paused. */
+    private void stir() {
+        sweepAt = Math.min(sweepAt, System.nanoTime() + SWEEP_MS * 1_000_000);
     }
 
     // ---------------------------------------------------------------- what is said
     private Insight.Published published() {
-        busy = true;
         return insight.published();
     }
 
--- a/src/main/java/granitefold/net/checks/Front.java
+++ b/src/main/java/granitefold/net/checks/Front.java
@@ -25,6 +25,8 @@
     final ServerSocketChannel listener;
     private final Bounds bounds;
     private final Sockets sockets;
+    /** Asks for {@link #sweep} soon. */
+    private final Runnable stir;
     private final BiFunction<EndPoint, Front, CheckConnection> make;
     /** Open connections, the oldest first, with their ends of life. */
     private final Map<CheckConnection, Long> open = new LinkedHashMap<>();
@@ -33,11 +35,12 @@
     private boolean paused;
 
     Front(String name, ServerSocketChannel listener, Bounds bounds, Sockets sockets,
-            BiFunction<EndPoint, Front, CheckConnection> make) {
+            Runnable stir, BiFunction<EndPoint, Front, CheckConnection> make) {
         this.name = name;
         this.listener = listener;
         this.bounds = bounds;
         this.sockets = sockets;
+        this.stir = stir;
         this.make = make;
         allowance = burst();
     }
@@ -58,6 +61,7 @@
         if (allowance < 1 && !paused) {
             paused = true;
             sockets.pause(listener, true);
+            stir.run();
         }
         return allowance >= 1;
     }
@@ -80,6 +84,7 @@
             public Connection opened(EndPoint endPoint) {
                 CheckConnection c = make.apply(endPoint, Front.this);
                 open.put(c, System.nanoTime() + bounds.timeoutUs() * 1000);
+                stir.run();
                 return c;
             }
 
--- a/src/main/java/granitefold/operator/Operator.java
+++ b/src/main/java/granitefold/operator/Operator.java
@@ -18,7 +18,7 @@
         HealthSettings health, Probe probe) {
     /** Everything off: the platform's start. */
     public static final Operator NONE = new Operator(new Log(false), null, null, null,
-            new Clients(false, Set.of(), false, false), AvailabilitySettings.DEFAULTS, null, null);
+            new Clients(false, Set.of(), false, false), AvailabilitySettings.DEFAULTS, null, new Probe("/healthz"));
 
     /** Eight connections, the listener and the lock; a selector's own. */
     private static final int CONTROL_DESCRIPTORS = 10, SELECTOR_DESCRIPTORS = 3;
--- a/src/main/java/granitefold/operator/OperatorFile.java
+++ b/src/main/java/granitefold/operator/OperatorFile.java
@@ -209,7 +209,7 @@
     }
 
     private static Operator.Probe probe(Section s) {
-        return new Operator.Probe(s.text("path", "/healthz", "a path of visible ASCII that begins with /",
+        return new Operator.Probe(s.text("path", Operator.NONE.probe().path(), "a path of visible ASCII that begins with /",
                 v -> v.matches("/[!-~]{0,200}")));
     }
 
--- /dev/null
+++ b/src/main/java/granitefold/standin/Cocinero.java
@@ -0,0 +1,85 @@
+package granitefold.standin;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Semaphore;
+
+/**
+ * A stand-in cocinero: a job holds one slot for as long as its {@code X-Estimate} tells (microseconds, else 100 ms)
+ * and gives back its body in capitals. It counts how often each id was started.
+ */
+public final class Cocinero extends Server {
+    private static final int PATIENCE_MS = 60_000;
+    private static final String UNTOLD = "100000";
+
+    /** What it does with connections and jobs. */
+    public enum Mood { WELL, HUNG, FAILING }
+
+    public final String name;
+    final Map<String, Integer> starts = new ConcurrentHashMap<>();
+    volatile String status = "up";
+    private final Semaphore slots;
+    private volatile Mood mood = Mood.WELL;
+    private volatile double slowness = 1;
+
+    public Cocinero(String name, int slots) throws IOException {
+        this.name = name;
+        this.slots = new Semaphore(slots, true);
+    }
+
+    public void mood(Mood now) {
+        mood = now;
+    }
+
+    /** Jobs take so many times as long. */
+    public void slowness(double factor) {
+        slowness = factor;
+    }
+
+    /** Ids that were started more than once. */
+    public long repeated() {
+        return starts.values().stream().filter(n -> n > 1).count();
+    }
+
+    @Override
+    protected void serve(Socket socket) throws IOException, InterruptedException {
+        Exchange e = new Exchange(socket, PATIENCE_MS);
+        while (e.read()) {
+            if (mood == Mood.HUNG) {
+                Thread.sleep(PATIENCE_MS);
+            }
+            if (mood == Mood.FAILING) {
+                return;
+            }
+            if (e.first.startsWith("GET ")) {
+                e.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+                continue;
+            }
+            job(e);
+        }
+    }
+
+    private void job(Exchange e) throws IOException, InterruptedException {
+        String about = "{\"id\":\"" + e.head.get("x-txn") + "\",\"from\":\"" + name + "\",\"state\":";
+        slots.acquire();
+        try {
+            starts.merge(e.head.get("x-txn"), 1, Integer::sum);
+            e.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(about + "\"started\"}\n"));
+            long us = (long) (Long.parseLong(e.head.getOrDefault("x-estimate", UNTOLD)) * slowness);
+            Thread.sleep(us / 1000, (int) (us % 1000) * 1000);
+        } finally {
+            slots.release();
+        }
+        String result = new String(e.body, StandardCharsets.ISO_8859_1).toUpperCase(Locale.ROOT).replace("\\", "\\\\")
+                .replace("\"", "\\\"");
+        e.write(chunk(about + "\"done\",\"result\":\"" + result + "\"}\n") + "0\r\n\r\n");
+    }
+
+    static String chunk(String text) {
+        return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+    }
+}
--- /dev/null
+++ b/src/main/java/granitefold/standin/Discovery.java
@@ -0,0 +1,62 @@
+package granitefold.standin;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.List;
+import java.util.stream.Collectors;
+
+/** A stand-in discovery: the whole list to each watch, then a sign of life every two seconds, unless it is silent. */
+public final class Discovery extends Server {
+    private static final int PATIENCE_MS = 60_000, HEARTBEAT_MS = 2000, LOOK_MS = 20;
+
+    private final List<Cocinero> peers;
+    private volatile boolean silent;
+    private volatile int version = 1;
+
+    public Discovery(List<Cocinero> peers) throws IOException {
+        this.peers = List.copyOf(peers);
+    }
+
+    /** Says nothing from now on, or speaks again. */
+    public void silent(boolean on) {
+        silent = on;
+    }
+
+    /** The peers' states have changed. */
+    public void changed() {
+        version++;
+    }
+
+    /** The list as it is now; {@code address}: null for the peers' own, else one that stands for all of them. */
+    public String list(String address) {
+        return "{\"index\":" + version + ",\"snapshot\":true,\"endpoints\":[" + peers.stream().map(p -> "{\"name\":\"" + p.name
+                + "\",\"address\":\"" + (address == null ? p.address() : address) + "\",\"status\":\"" + p.status
+                + "\",\"weight\":1.0,\"since_ms\":0,\"zone\":\"sala\",\"type\":\"m\"}").collect(Collectors.joining(",")) + "]}";
+    }
+
+    @Override
+    protected void serve(Socket socket) throws IOException, InterruptedException {
+        Exchange e = new Exchange(socket, PATIENCE_MS);
+        e.read();
+        boolean head = false;
+        int told = 0;
+        long saidAt = 0;
+        while (true) {
+            if (!silent) {
+                if (!head) {
+                    e.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                    head = true;
+                }
+                if (told != version) {
+                    told = version;
+                    e.write(Cocinero.chunk(list(null) + "\n"));
+                    saidAt = System.nanoTime();
+                } else if (System.nanoTime() - saidAt > HEARTBEAT_MS * 1_000_000L) {
+                    e.write(Cocinero.chunk("\n"));
+                    saidAt = System.nanoTime();
+                }
+            }
+            Thread.sleep(LOOK_MS);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/granitefold/standin/Experiment.java
@@ -0,0 +1,179 @@
+package granitefold.standin;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Experiments with a small fleet and a stand-in balancer; each prints a table. */
+@Command(name = "experiment", mixinStandardHelpOptions = true, subcommands = {Experiment.Demo.class, Experiment.DrainRun.class,
+    Experiment.Kill.class, Experiment.Slow.class})
+public final class Experiment implements Callable<Integer> {
+    private static final String QUICK = "availability.slow-start = 1s\n";
+    private static final long ANSWERS_S = 30;
+
+    private Experiment() { }
+
+    public static void main(String[] args) {
+        System.exit(new CommandLine(new Experiment()).execute(args));
+    }
+
+    @Override
+    public Integer call() {
+        CommandLine.usage(this, System.err);
+        return CommandLine.ExitCode.USAGE;
+    }
+
+    abstract static class Run implements Callable<Integer> {
+        @Option(names = "--rate", defaultValue = "400", description = "Requests a second (${DEFAULT-VALUE}).")
+        protected double rate;
+        @Option(names = "--work", defaultValue = "5000", description = "Work of each, microseconds (${DEFAULT-VALUE}).")
+        protected long workUs;
+        @Option(names = "--dispatchers", defaultValue = "3")
+        protected int dispatchers;
+        @Option(names = "--runs", defaultValue = "1", description = "Times each row is run (${DEFAULT-VALUE}).")
+        protected int runs;
+
+        protected static void head() {
+            System.out.printf("%-24s %7s %7s %8s %6s %6s %9s %9s %s%n", "checks", "asked", "served", "rejected", "failed",
+                    "lost", "p50 ms", "p99 ms", "note");
+        }
+
+        protected static void row(String name, Load load, String note) {
+            System.out.printf(Locale.ROOT, "%-24s %7d %7d %8d %6d %6d %9.1f %9.1f %s%n", name, load.due(),
+                    load.count(Balancer.Outcome.SERVED), load.count(Balancer.Outcome.REJECTED),
+                    load.count(Balancer.Outcome.FAILED), load.count(Balancer.Outcome.LOST), load.latencyMs(50),
+                    load.latencyMs(99), note);
+        }
+
+        /** One row for each kind of check: the same load, the same trouble a third of the way through. */
+        protected final Integer compare(Trouble trouble) throws Exception {
+            head();
+            for (int run = 0; run < runs; run++) {
+                for (CheckRules rules : List.of(CheckRules.NONE, CheckRules.NGINX, CheckRules.CLOUD, CheckRules.ENVOY,
+                        CheckRules.AGENT)) {
+                    try (Fleet fleet = new Fleet(4, 8).with(dispatchers, QUICK + "clients.envoy-headers = true\n");
+                            Balancer balancer = fleet.balancer(rules)) {
+                        settle(fleet, balancer);
+                        long requests = (long) (rate * 9);
+                        Load load = new Load("compare", balancer, rate, workUs).begin(requests);
+                        while (load.due() < requests / 3) {
+                            Thread.sleep(10);
+                        }
+                        long before = balancer.sent(fleet.dispatchers.get(0).name);
+                        trouble.on(fleet, load);
+                        load.await(ANSWERS_S);
+                        row(rules.name(), load, (balancer.sent(fleet.dispatchers.get(0).name) - before)
+                                + " sent there after it began");
+                    }
+                }
+            }
+            return 0;
+        }
+
+        /** Waits until the balancer has all servers in. */
+        protected static void settle(Fleet fleet, Balancer balancer) throws InterruptedException {
+            long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(ANSWERS_S);
+            while (!fleet.dispatchers.stream().allMatch(d -> balancer.eligible(d.name)) && System.nanoTime() - until < 0) {
+                Thread.sleep(10);
+            }
+        }
+    }
+
+    @Command(name = "demo", mixinStandardHelpOptions = true,
+            description = "Two dispatchers behind an agent-checking balancer: load, a drain, and back.")
+    static final class Demo extends Run {
+        @Override
+        public Integer call() throws Exception {
+            try (Fleet fleet = new Fleet(3, 6).with(2, QUICK); Balancer balancer = fleet.balancer(CheckRules.AGENT)) {
+                settle(fleet, balancer);
+                Fleet.Dispatcher first = fleet.dispatchers.get(0);
+                System.out.print(first.control("status"));
+                Load load = new Load("demo", balancer, rate, workUs).begin((long) (rate * 8));
+                Thread.sleep(2000);
+                System.out.print("drain: " + first.control("drain", "--wait"));
+                Thread.sleep(3000);
+                System.out.print("ready: " + first.control("ready"));
+                load.await(ANSWERS_S);
+                head();
+                row("haproxy agent-check", load, first.name + " had " + balancer.sent(first.name) + " requests, "
+                        + fleet.repeated() + " jobs ran twice");
+                return load.count(Balancer.Outcome.LOST) == 0 ? 0 : 1;
+            }
+        }
+    }
+
+    @Command(name = "drain", mixinStandardHelpOptions = true,
+            description = "One of the dispatchers is drained under load, once for each protocol.")
+    static final class DrainRun extends Run {
+        @Override
+        public Integer call() throws Exception {
+            head();
+            for (int run = 0; run < runs; run++) {
+                for (CheckRules rules : List.of(CheckRules.AGENT, CheckRules.HTTP_404, CheckRules.ENVOY, CheckRules.CLOUD)) {
+                    try (Fleet fleet = new Fleet(4, 8).with(dispatchers, QUICK + "clients.envoy-headers = true\n");
+                            Balancer balancer = fleet.balancer(rules)) {
+                        Result r = drain(fleet, balancer, rate, workUs, (long) (rate * 10));
+                        row(rules.name(), r.load, String.format(Locale.ROOT, "new traffic ended after %.2f s, %d ran twice",
+                                r.endedMs / 1000.0, fleet.repeated()));
+                    }
+                }
+            }
+            return 0;
+        }
+    }
+
+    /** What a drain under load came to; {@code endedMs}: from the answer to the drain's word to the last request sent there. */
+    record Result(Load load, long endedMs) { }
+
+    /** Drains the first dispatcher in the middle of a load. */
+    static Result drain(Fleet fleet, Balancer balancer, double rate, long workUs, long requests) throws Exception {
+        Run.settle(fleet, balancer);
+        Fleet.Dispatcher first = fleet.dispatchers.get(0);
+        Load load = new Load("drain", balancer, rate, workUs).begin(requests);
+        while (load.due() < requests / 3) {
+            Thread.sleep(10);
+        }
+        first.control("drain");
+        long told = Balancer.now();
+        if (!load.await(ANSWERS_S + (long) (requests / rate))) {
+            throw new IllegalStateException("some requests have no answer");
+        }
+        return new Result(load, Math.max(0, balancer.lastSent(first.name) - told));
+    }
+
+    @Command(name = "kill", mixinStandardHelpOptions = true,
+            description = "One of the dispatchers is killed under load and stays away, with and without checks.")
+    static final class Kill extends Run {
+        @Override
+        public Integer call() throws Exception {
+            return compare((fleet, load) -> fleet.dispatchers.get(0).kill());
+        }
+    }
+
+    @Command(name = "slow", mixinStandardHelpOptions = true,
+            description = "One of the dispatchers stands still for most of the time, with and without checks.")
+    static final class Slow extends Run {
+        @Override
+        public Integer call() throws Exception {
+            return compare((fleet, load) -> {
+                Fleet.Dispatcher slow = fleet.dispatchers.get(0);
+                while (!load.await(0)) {
+                    slow.signal("STOP");
+                    Thread.sleep(300);
+                    slow.signal("CONT");
+                    Thread.sleep(100);
+                }
+            });
+        }
+    }
+
+    /** What happens to the fleet in the middle of a load. */
+    interface Trouble {
+        void on(Fleet fleet, Load load) throws IOException, InterruptedException;
+    }
+}
--- /dev/null
+++ b/src/main/java/granitefold/standin/Server.java
@@ -0,0 +1,64 @@
+package granitefold.standin;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** A listener on loopback with a daemon thread a connection. */
+abstract class Server implements Closeable {
+    private static final int BACKLOG = 256;
+
+    private final ServerSocket listener;
+    private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+
+    Server() throws IOException {
+        listener = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
+        daemon(this::accept, getClass().getSimpleName());
+    }
+
+    static void daemon(Runnable task, String name) {
+        Thread thread = new Thread(task, name);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    final String address() {
+        return "127.0.0.1:" + listener.getLocalPort();
+    }
+
+    private void accept() {
+        while (!listener.isClosed()) {
+            try {
+                Socket socket = listener.accept();
+                open.add(socket);
+                daemon(() -> {
+                    try (socket) {
+                        serve(socket);
+                    } catch (IOException e) {
+                        // the other side has gone, which is its right
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    } finally {
+                        open.remove(socket);
+                    }
+                }, getClass().getSimpleName() + " connection");
+            } catch (IOException e) {
+                // the next round tells whether it is over
+            }
+        }
+    }
+
+    protected abstract void serve(Socket socket) throws IOException, InterruptedException;
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+        for (Socket s : open) {
+            s.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/granitefold/ArrowsTest.java
@@ -0,0 +1,52 @@
+package granitefold;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.junit.jupiter.api.Test;
+
+/** Arrows run one way: cli, net, wire, core, the module; and what decides touches nothing outside. */
+class ArrowsTest {
+    private static final JavaClasses CLASSES = new ClassFileImporter().withImportOption(new ImportOption.DoNotIncludeTests())
+            .importPackages("granitefold");
+    private static final String[] PURE = {"granitefold.core..", "granitefold.availability..", "granitefold.health.."};
+
+    @Test
+    void arrowsRunOneWay() {
+        noClasses().that().resideInAnyPackage(PURE).should().dependOnClassesThat().resideInAnyPackage("granitefold.wire..",
+                "granitefold.net..", "granitefold.operator..", "granitefold.cli..", "granitefold.benchlink..").check(CLASSES);
+        noClasses().that().resideInAnyPackage("granitefold.availability..", "granitefold.health..").should()
+                .dependOnClassesThat().resideInAnyPackage("granitefold.core..").check(CLASSES);
+        noClasses().that().resideInAPackage("granitefold.wire..").should().dependOnClassesThat().resideInAnyPackage(
+                "granitefold.net..", "granitefold.operator..", "granitefold.cli..").check(CLASSES);
+        noClasses().that().resideInAnyPackage("granitefold.net..", "granitefold.operator..").should().dependOnClassesThat()
+                .resideInAnyPackage("granitefold.cli..", "granitefold.benchlink..").check(CLASSES);
+        noClasses().that().resideOutsideOfPackage("granitefold.standin..").should().dependOnClassesThat()
+                .resideInAPackage("granitefold.standin..").check(CLASSES);
+        assertTrue(CLASSES.size() > 100, "the rules have something to look at");
+    }
+
+    @Test
+    void whatDecidesTouchesNeitherSocketNorFileNorClockNorThread() {
+        noClasses().that().resideInAnyPackage(PURE).or().haveFullyQualifiedName("granitefold.Decide")
+                .should().dependOnClassesThat().resideInAnyPackage("java.net..", "java.nio.channels..", "java.nio.file..",
+                        "java.util.concurrent..", "org.eclipse.jetty..", "org.slf4j..")
+                .orShould().dependOnClassesThat().areAssignableTo(Thread.class).orShould().callMethod(System.class, "nanoTime")
+                .orShould().callMethod(System.class, "currentTimeMillis").check(CLASSES);
+    }
+
+    /** The platform's start loads no library for operators' files and commands. */
+    @Test
+    void librariesStayOffThePlatformsPath() {
+        classes().that().resideOutsideOfPackages("granitefold.cli..", "granitefold.standin..").should()
+                .onlyDependOnClassesThat().resideOutsideOfPackages("picocli..", "ch.qos.logback..", "net.logstash..")
+                .check(CLASSES);
+        noClasses().that().doNotHaveSimpleName("OperatorFile").and().doNotHaveSimpleName("Section").and()
+                .resideOutsideOfPackage("granitefold.cli..").and().haveNameNotMatching(".*\\.(OperatorFile|Section)\\$.*")
+                .should().dependOnClassesThat().resideInAnyPackage("com.typesafe..", "org.apache.commons..").check(CLASSES);
+    }
+}
--- a/src/test/java/granitefold/real/RealProgram.java
+++ b/src/test/java/granitefold/real/RealProgram.java
@@ -37,8 +37,16 @@
     private final List<Closeable> opened = new ArrayList<>();
     private InetSocketAddress address;
 
+    /** The operator's file, where there is one. */
+    final Path operator;
+
     /** Starts with these peers known; the fields replace or join those of the configuration. */
     RealProgram(Map<String, String> fields, Peer... peers) throws IOException {
+        this(null, fields, peers);
+    }
+
+    /** The same with an operator's file of this text. */
+    RealProgram(String operatorText, Map<String, String> fields, Peer... peers) throws IOException {
         config.put("name", "\"n0\"");
         config.put("listen", "\"" + text(HOST, 0) + "\"");
         config.put("discovery", "\"" + text(HOST, discovery.getLocalPort()) + "\"");
@@ -48,7 +56,12 @@
         config.put("settings", settings("\"attemptsCap\":4,\"connectTimeoutMs\":5000,\"idleCloseMs\":60000"));
         config.putAll(fields);
         Files.writeString(file, json());
-        process = launch(file);
+        operator = operatorText == null ? null : Files.createTempFile("operator", ".conf");
+        if (operator != null) {
+            Files.writeString(operator, operatorText);
+            operator.toFile().deleteOnExit();
+        }
+        process = launch(file, operator);
         Thread reader = new Thread(() -> process.inputReader().lines().forEach(lines::add));
         reader.setDaemon(true);
         reader.start();
@@ -80,15 +93,15 @@
     static Process launchOn(String config) throws IOException {
         Path file = Files.createTempFile("config", ".json");
         Files.writeString(file, config);
-        return launch(file);
+        return launch(file, null);
     }
 
-    private static Process launch(Path file) throws IOException {
+    private static Process launch(Path file, Path operator) throws IOException {
         file.toFile().deleteOnExit();
         String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream().filter(l -> l.startsWith("run"))
                 .findFirst().orElseThrow();
         ProcessBuilder b = new ProcessBuilder("/bin/sh", "-c", run.substring(run.indexOf('"') + 1,
-                run.lastIndexOf('"'))).redirectErrorStream(true);
+                run.lastIndexOf('"')) + (operator == null ? "" : " --operator " + operator)).redirectErrorStream(true);
         b.environment().put("LB_CONFIG", file.toString());
         return b.start();
     }
@@ -136,6 +149,11 @@
         throw new AssertionError("no '" + part + "' in the log:\n" + String.join("\n", log));
     }
 
+    /** Takes in what the log has by now. */
+    void drainLog() {
+        lines.drainTo(log);
+    }
+
     /** Accepts the next watch on discovery and answers with these lines. */
     Exchange watch(String... list) throws IOException {
         Exchange e = keep(new Exchange(discovery.accept()));
@@ -147,20 +165,33 @@
 
     /** Accepts the first watch, tells that nothing changed, and waits until the program serves. */
     Exchange serving() throws IOException, InterruptedException {
-        String line = awaitLog("listening on ");
-        address = new InetSocketAddress(HOST, Integer.parseInt(line.substring(line.lastIndexOf(':') + 1).trim()));
+        address = addressIn(" listening on ");
         Exchange watch = watch(list(1, false));
         awaitLog("phase: SERVING");
         return watch;
     }
 
-    /** A new client connection. */
-    Exchange client() throws IOException {
+    /** The address at the end of a line of the log that holds a text. */
+    InetSocketAddress addressIn(String part) throws InterruptedException {
+        String line = awaitLog(part);
+        return new InetSocketAddress(HOST, Integer.parseInt(line.substring(line.lastIndexOf(':') + 1).trim()));
+    }
+
+    /** A new connection to an address, from one of loopback's own where it is named. */
+    Exchange connect(InetSocketAddress to, String from) throws IOException {
         Socket s = new Socket();
-        s.connect(address, PATIENCE_S * 1000);
+        if (from != null) {
+            s.bind(new InetSocketAddress(from, 0));
+        }
+        s.connect(to, PATIENCE_S * 1000);
         return keep(new Exchange(s));
     }
 
+    /** A new client connection. */
+    Exchange client() throws IOException {
+        return connect(address, null);
+    }
+
     private Exchange keep(Exchange e) {
         opened.add(e);
         return e;
@@ -190,6 +221,42 @@
             this.name = name;
         }
 
+        /** From now on takes every connection; each request is answered at once, with {@code states} of a job. */
+        void serve(String... states) {
+            daemon(() -> {
+                while (true) {
+                    Exchange e = new Exchange(server.accept());
+                    daemon(() -> {
+                        while (e.read() != null) {
+                            if (states.length == 0) {
+                                e.close();
+                            } else if (e.first.startsWith("GET ")) {
+                                e.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+                            } else {
+                                e.answer(states).end();
+                            }
+                        }
+                    });
+                }
+            });
+        }
+
+        private interface Talk {
+            void go() throws IOException;
+        }
+
+        private static void daemon(Talk talk) {
+            Thread thread = new Thread(() -> {
+                try {
+                    talk.go();
+                } catch (IOException e) {
+                    // the test is over, or the program has gone
+                }
+            });
+            thread.setDaemon(true);
+            thread.start();
+        }
+
         /** The next connection, with the request that it brings. */
         Exchange accept() throws IOException {
             Exchange e = new Exchange(server.accept());
@@ -223,6 +290,25 @@
             return this;
         }
 
+        /** All that comes until the end. */
+        String rest() throws IOException {
+            return new String(in.readAllBytes(), StandardCharsets.UTF_8);
+        }
+
+        /** The same where the other side may have reset the connection. */
+        String restOrReset() throws IOException {
+            try {
+                return rest();
+            } catch (java.net.SocketException e) {
+                return "";
+            }
+        }
+
+        /** The status of the message read last. */
+        int lastStatus() {
+            return Integer.parseInt(first.split(" ")[1]);
+        }
+
         /** Reads a message with its body by Content-Length; returns its first line, null at the end. */
         String read() throws IOException {
             first = line();
