--- a/src/main/java/granitefold/logging/LogEvent.java
+++ b/src/main/java/granitefold/logging/LogEvent.java
@@ -23,7 +23,6 @@
     CHECKS_CROWDED("checks.crowded", Level.WARN, "checks: {} closed its oldest connection for want of room", "front"),
     CHECKS_REFUSED("checks.refused", Level.INFO, "checks: {} refused what {} sent: {}", "front", "address", "reason"),
     CONTROL("control", Level.INFO, "control: {}", "command"),
-    CONTROL_FAILED("control.failed", Level.WARN, "control: no socket at {}: {}", "path", "reason"),
     CLIENT_REFUSED("client.refused", Level.INFO, "client: {} refused: {}", "address", "reason"),
     PEER_HEALTH("peer.health", Level.INFO, "peer: {} is {}: {}", "peer", "health", "reason"),
     PEER_PANIC("peer.panic", Level.WARN, "peers: {} of {} look dead, so none is taken to be", "down", "ready"),
--- /dev/null
+++ b/src/main/java/granitefold/recovery/Ageing.java
@@ -0,0 +1,119 @@
+package granitefold.recovery;
+
+import granitefold.Dispatcher.State;
+import granitefold.Dispatcher.Worker;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Takes what was learned over the time that has passed since, and over a list that may have changed. Everything errs to
+ * the safe side: what is older than its use, of a worker that restarted since, or from the future, is dropped; what
+ * could break a rule (work sent to cold workers, keys that may have run) is kept for its whole span.
+ */
+public final class Ageing {
+    /** A file may be ahead of the clock by so much and still be believed: clocks are set. */
+    static final long AHEAD_US = 2_000_000;
+
+    private final AgeingSettings set;
+
+    /** {@code reasons}: what was dropped and why, a line each kind of reason. */
+    public record Aged(Learned learned, List<String> reasons) { }
+
+    public Ageing(AgeingSettings set) {
+        this.set = set;
+    }
+
+    /** What still holds at {@code now}, by the list of workers as it is known; null where nothing does. */
+    public Aged age(Learned old, List<Worker> list, long now) {
+        List<String> reasons = new ArrayList<>();
+        long age = now - old.at();
+        if (age < -AHEAD_US) {
+            // the clock was set back: no age can be told. Keys and cold work still hold, as if written just now
+            reasons.add("written " + -age / 1_000_000 + " s in the future: only keys and work sent to cold peers are kept");
+            return new Aged(new Learned(now, 0, 0, 0, 0, List.of(), cold(old, now, reasons), List.of(), keys(old, old.at(), now)),
+                    reasons);
+        }
+        age = Math.max(0, age);
+        boolean fetch = holds(age, set.fetchUs());
+        if (!fetch) {
+            reasons.add("fetch time and mean work: " + age / 1_000_000 + " s old");
+        }
+        return new Aged(new Learned(now, fetch ? old.fetchUs() : 0, fetch ? old.kept() : 0, fetch ? old.meanWork() : 0,
+                fetch ? old.works() : 0, kinds(old, age, reasons), peers(old, list, age, reasons), buckets(old, age, reasons),
+                keys(old, now, now)), reasons);
+    }
+
+    private boolean holds(long age, long constant) {
+        return age < set.uses() * constant;
+    }
+
+    private static double fade(double weight, long age, long constant) {
+        return weight * Math.exp(-(double) age / constant);
+    }
+
+    private List<Learned.Kind> kinds(Learned old, long age, List<String> reasons) {
+        if (!holds(age, set.kindUs())) {
+            reasons.add("kinds: " + age / 1_000_000 + " s old");
+            return List.of();
+        }
+        return old.kinds().stream().map(k -> new Learned.Kind(k.kind(), fade(k.sum(), age, set.kindUs()),
+                fade(k.weight(), age, set.kindUs()), k.slots())).toList();
+    }
+
+    private List<Learned.Peer> peers(Learned old, List<Worker> list, long age, List<String> reasons) {
+        Map<Long, Worker> listed = new HashMap<>();
+        list.forEach(w -> listed.put(w.id(), w));
+        List<Learned.Peer> peers = new ArrayList<>();
+        int gone = 0;
+        int changed = 0;
+        for (Learned.Peer p : old.peers()) {
+            Worker w = listed.get(p.id());
+            if (w == null || w.state() == State.GONE) {
+                gone++;
+                continue;
+            }
+            if (w.kind() != p.kind()) {
+                // another machine under the same name: nothing of it is known but what it may have been sent
+                changed++;
+                peers.add(new Learned.Peer(p.id(), w.kind(), w.startedAtUs(), p.lostAt(), 0, 0, 0, p.work(), List.of()));
+                continue;
+            }
+            boolean restarted = w.startedAtUs() > p.startedAt();
+            boolean speed = holds(age, set.speedUs());
+            // what it was learned while it ran tells of the machine, and stays; what it kept is gone with the process
+            peers.add(new Learned.Peer(p.id(), p.kind(), w.startedAtUs(), p.lostAt(),
+                    speed ? fade(p.sum(), age, set.speedUs()) : 0, speed ? fade(p.weight(), age, set.speedUs()) : 0,
+                    holds(age, set.kindUs()) ? p.slots() : 0, p.work(),
+                    restarted || age >= set.keptUs() ? List.of() : p.kept()));
+        }
+        if (gone > 0) {
+            reasons.add(gone + " peers: no longer listed");
+        }
+        if (changed > 0) {
+            reasons.add(changed + " peers: of another kind now");
+        }
+        return peers;
+    }
+
+    /** Only what was sent to cold workers, for workers that the list need not name yet. */
+    private static List<Learned.Peer> cold(Learned old, long now, List<String> reasons) {
+        return old.peers().stream().filter(p -> p.work() > 0).map(p -> new Learned.Peer(p.id(), p.kind(), p.startedAt(),
+                Math.min(p.lostAt(), now), 0, 0, 0, p.work(), List.of())).toList();
+    }
+
+    private List<Learned.Bucket> buckets(Learned old, long age, List<String> reasons) {
+        if (!holds(age, set.bucketUs())) {
+            // the counts still hold, as they only grow; the credit is as good as a new bucket's
+            reasons.add("buckets' credit: " + age / 1_000_000 + " s old");
+        }
+        return old.buckets();
+    }
+
+    private static List<Learned.Key> keys(Learned old, long from, long now) {
+        // from the future: the whole span that is left of each counts from now
+        return old.keys().stream().filter(k -> k.until() > from).map(k -> new Learned.Key(k.key(),
+                from > now ? now + (k.until() - from) : k.until())).toList();
+    }
+}
