Surviving restart: what was learned is kept in a checked file, aged on reading

Need: a dispatcher that dies comes back with nothing but its last list; speeds and slots are learned anew under full load, and its own use of tenants' buckets is forgotten until gossip returns it. Change: recovery (value and ageing, pure), state (format, generations, folder, one writing thread), Decide.learned and restore, core.Recollection (interval, keys of requests that may have run), state.* in the operator's file, `granitefold state`. Off without state.dir: no thread, file or timer. Not measured yet: recovery time with and without the file, the loop's lag, larger fleets. The issue stays open for that.

--- a/src/main/java/granitefold/Decide.java
+++ b/src/main/java/granitefold/Decide.java
@@ -1,5 +1,6 @@
 package granitefold;
 
+import granitefold.recovery.Learned;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -8,6 +9,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.stream.IntStream;
+import java.util.stream.LongStream;
 
 /**
  * Every decision of a dispatcher. The interface (settings, events, actions) is {@link Dispatcher}, in
@@ -826,6 +828,63 @@
         }
     }
 
+    // ---------------------------------------------------------------- LEARNED
+    @Override
+    public Learned learned(long now) {
+        List<Learned.Kind> of = kinds.entrySet().stream().map(e -> new Learned.Kind(e.getKey(),
+                e.getValue().sum(), e.getValue().weight(), kindSlots.getOrDefault(e.getKey(), 0))).toList();
+        List<Learned.Peer> peers = nodes.values().stream().filter(n -> n.state != State.GONE)
+                .map(n -> new Learned.Peer(n.id, n.kind, n.startedAt, n.lostAt, n.speed.sum(),
+                n.speed.weight(), n.slots, coldSent(n, now), n.keys())).toList();
+        List<Learned.Bucket> full = buckets.entrySet().stream().map(e -> new Learned.Bucket(e.getKey(),
+                LongStream.of(e.getValue().used).boxed().toList(), e.getValue().credited,
+                e.getValue().refilledAt)).toList();
+        return new Learned(now, fetchTime, kept, meanWork, worksSeen, of, peers, full, List.of());
+    }
+
+    private double coldSent(Node n, long now) {
+        return n.coldSends.stream().filter(s -> s[0] > now - set.rules().fallUs())
+                .mapToDouble(s -> s[1]).sum();
+    }
+
+    @Override
+    public void restore(long now, Learned l) {
+        if (l.works() > worksSeen) {
+            meanWork = l.meanWork();
+            worksSeen = l.works();
+            fetchTime = l.fetchUs();
+            kept = l.kept();
+        }
+        for (Learned.Kind k : l.kinds()) {
+            kinds.computeIfAbsent(k.kind(), x -> new Speed(KIND_MEMORY)).restore(k.sum(), k.weight());
+            kindSlots.merge(k.kind(), k.slots(), Math::max);
+        }
+        for (Learned.Peer p : l.peers()) {
+            Node n = nodes.get(p.id());
+            if (n != null) {
+                n.speed.restore(p.sum(), p.weight());
+                n.slots = Math.max(n.slots, p.slots());
+                n.restoreKeys(p.kept());
+                n.lostAt = Math.max(n.lostAt, Math.min(now, p.lostAt()));
+                if (p.work() > 0) {
+                    // as if it were sent just now: a cold budget is never spent twice
+                    n.coldSends.addLast(new double[] {now, p.work()});
+                }
+            }
+        }
+        for (Learned.Bucket k : l.buckets()) {
+            Bucket b = bucket(k.tenant(), now);
+            for (int owner = 0; b != null && owner < Math.min(siblings, k.used().size()); owner++) {
+                // our own use of this life comes on top, as where gossip brings the former one back
+                b.merge(owner, k.used().get(owner) + (owner == set.me() ? b.sinceStart : 0), 0);
+            }
+            if (b != null) {
+                double since = Math.max(0, now - k.refilledAt()) / 1e6;
+                b.merge(0, 0, Math.min(k.credited() + b.rate * since, b.total + b.capacity));
+            }
+        }
+    }
+
     /** How long a word counts on jobs that take so long after such a wait. */
     private static long life(double each, double wait) {
         return (long) (WORD_US + wait + WORD_TIMES * each);
--- a/src/main/java/granitefold/Dispatcher.java
+++ b/src/main/java/granitefold/Dispatcher.java
@@ -1,5 +1,6 @@
 package granitefold;
 
+import granitefold.recovery.Learned;
 import java.util.List;
 
 /**
@@ -127,6 +128,12 @@
     /** How hard pressed the module takes its workers to be. */
     Pressure pressure(long now);
 
+    /** What was learned and is worth keeping past this life. */
+    Learned learned(long now);
+
+    /** Takes in what a former life learned, aged to now; what was learned since the start counts on. */
+    void restore(long now, Learned former);
+
     /** The decisions. Attempts of a request are numbered 0, 1, 2 ... in the order of {@link #send}. */
     interface Actions {
         /** Send a request to a worker and wait at most {@code waitUs} (0: until the client gives up). */
--- a/src/main/java/granitefold/Node.java
+++ b/src/main/java/granitefold/Node.java
@@ -84,6 +84,20 @@
         return at < 0 ? Integer.MAX_VALUE : at;
     }
 
+    /** Keys of the jobs sent there, the last one first. */
+    List<Long> keys() {
+        return List.copyOf(keys);
+    }
+
+    /** Takes over the keys of a former life behind those of this one. */
+    void restoreKeys(List<Long> former) {
+        for (Long key : former) {
+            if (keys.size() < KEYS && !keys.contains(key)) {
+                keys.add(key);
+            }
+        }
+    }
+
     /** A job with this key (0: none) was sent there. */
     void sentKey(long key) {
         if (key == 0) {
--- a/src/main/java/granitefold/Rehearsal.java
+++ b/src/main/java/granitefold/Rehearsal.java
@@ -25,8 +25,8 @@
             + "X-Estimate: 1000\r\nX-Labels: slots=1\r\nContent-Length: 4\r\nConnection: close\r\n\r\nsoup";
 
     /** Loaded with an operator's file or for other commands only: in the archive they would cost every start. */
-    private static final String ELSEWHERE = "granitefold\\.(cli\\.(Commands|ControlClient|JsonLines)|operator\\.(OperatorFile"
-            + "|Section)|net\\.checks\\.|shaded\\.jackson\\.(databind|annotation)).*";
+    private static final String ELSEWHERE = "granitefold\\.(cli\\.(Commands|ControlClient|JsonLines|StateCommand)|operator\\.(OperatorFile"
+            + "|Section)|net\\.checks\\.|state\\.|recovery\\.Ageing|shaded\\.jackson\\.(databind|annotation|dataformat)).*";
 
     private Rehearsal() { }
 
--- a/src/main/java/granitefold/Speed.java
+++ b/src/main/java/granitefold/Speed.java
@@ -18,6 +18,20 @@
         count = count * memory + 1;
     }
 
+    double sum() {
+        return sum;
+    }
+
+    double weight() {
+        return count;
+    }
+
+    /** Takes in what was learned in a former life, with the weight that it still has. */
+    void restore(double formerSum, double formerWeight) {
+        sum += formerSum;
+        count += formerWeight;
+    }
+
     /** The logarithm of the speed, leaning on a prior worth so many jobs. */
     double log(double prior, double jobs) {
         return (sum + prior * jobs) / (count + jobs);
--- a/src/main/java/granitefold/cli/Commands.java
+++ b/src/main/java/granitefold/cli/Commands.java
@@ -29,7 +29,7 @@
 @Command(name = "granitefold", mixinStandardHelpOptions = true, versionProvider = Commands.Version.class,
         description = "A dispatcher for jobs.", exitCodeOnInvalidInput = Commands.USAGE,
         subcommands = {Commands.ServeCommand.class, Commands.BenchLinkCommand.class, Commands.Check.class,
-            Commands.Drain.class, Commands.Ready.class, Commands.Maint.class, Commands.Status.class,
+            Commands.Drain.class, StateCommand.class, Commands.Ready.class, Commands.Maint.class, Commands.Status.class,
             AutoComplete.GenerateCompletion.class, CommandLine.HelpCommand.class})
 public final class Commands implements Callable<Integer> {
     static final int USAGE = 64, NO = 1;
@@ -44,7 +44,7 @@
         CommandLine line = new CommandLine(new Commands());
         line.setCaseInsensitiveEnumValuesAllowed(true);
         // sub-commands do not take this over from their parent
-        line.getSubcommands().values().forEach(c -> c.getCommandSpec().exitCodeOnInvalidInput(USAGE));
+        strict(line);
         line.setExecutionExceptionHandler((e, command, result) -> {
             command.getErr().println("granitefold: " + e.getMessage());
             return NO;
@@ -52,6 +52,13 @@
         return line.execute(args);
     }
 
+    private static void strict(CommandLine line) {
+        line.getSubcommands().values().forEach(c -> {
+            c.getCommandSpec().exitCodeOnInvalidInput(USAGE);
+            strict(c);
+        });
+    }
+
     @Override
     public Integer call() {
         spec.commandLine().usage(spec.commandLine().getErr());
--- a/src/main/java/granitefold/cli/Serve.java
+++ b/src/main/java/granitefold/cli/Serve.java
@@ -6,6 +6,7 @@
 import granitefold.net.checks.Checks;
 import granitefold.operator.Operator;
 import granitefold.operator.OperatorFile;
+import granitefold.state.StateKeeper;
 import granitefold.wire.BadWire;
 import granitefold.wire.Config;
 import java.nio.file.Path;
@@ -25,6 +26,7 @@
     private Operator operator = Operator.NONE;
     private Loop loop;
     private Checks checks;
+    private StateKeeper keeper;
 
     private Serve(Path config, Path operatorFile) {
         this.config = config;
@@ -58,13 +60,21 @@
                 JsonLines.begin();
             }
         }
-        loop = new Loop(Config.read(config), operator);
+        Config platform = Config.read(config);
+        loop = new Loop(platform, operator);
+        if (operator.state() != null) {
+            keeper = new StateKeeper(operator.state().dir(), operator.state().keep(), platform.places(), loop::recovered);
+            loop.keeper(keeper::keep);
+        }
         if (operator.checks()) {
             checks = new Checks(loop.name(), loop, operator);
             checks.start();
         }
         Runtime.getRuntime().addShutdownHook(new Thread(this::terminate, "terminate"));
         loop.start();
+        if (keeper != null) {
+            keeper.start();
+        }
         started.complete(this);
     }
 
@@ -96,6 +106,9 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        if (keeper != null) {
+            keeper.endQuietly();
+        }
         if (checks != null) {
             checks.end();
         }
--- /dev/null
+++ b/src/main/java/granitefold/cli/StateCommand.java
@@ -0,0 +1,186 @@
+package granitefold.cli;
+
+import com.fasterxml.jackson.annotation.JsonAutoDetect;
+import com.fasterxml.jackson.annotation.PropertyAccessor;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import granitefold.state.RealDisk;
+import granitefold.state.StateFile;
+import granitefold.state.StateStore;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** Looks into state files, without touching them. Status 1: damaged, or different. */
+@Command(name = "state", mixinStandardHelpOptions = true, description = "Look into state files.",
+        subcommands = {StateCommand.Inspect.class, StateCommand.Verify.class, StateCommand.Diff.class, StateCommand.Export.class})
+final class StateCommand implements Callable<Integer> {
+    private static final ObjectMapper JSON = new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT)
+            .setVisibility(PropertyAccessor.FIELD, JsonAutoDetect.Visibility.ANY);
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public Integer call() {
+        spec.commandLine().usage(spec.commandLine().getErr());
+        return Commands.USAGE;
+    }
+
+    /** A file, or a folder's newest whole generation. */
+    private static StateFile.Content read(Path path) throws IOException {
+        Path folder = Files.isDirectory(path) ? path : path.toAbsolutePath().getParent();
+        if (folder.equals(path)) {
+            StateStore.Found found = new StateStore(readOnly(folder), 10).load();
+            if (found.content() == null) {
+                throw new IOException(path + ": no whole file" + (found.problems().isEmpty() ? "" : ": "
+                        + String.join("; ", found.problems())));
+            }
+            return found.content();
+        }
+        try {
+            byte[] file = RealDisk.reader(folder).read(path.getFileName().toString(), StateFile.LENGTH_MOST);
+            if (file == null) {
+                throw new IOException(path + ": missing");
+            }
+            return StateFile.decode(file);
+        } catch (StateFile.Unreadable e) {
+            throw new IOException(path + ": " + e.getMessage());
+        }
+    }
+
+    /** Reads as the store does, and refuses to set anything aside. */
+    private static granitefold.state.Disk readOnly(Path folder) {
+        granitefold.state.Disk disk = RealDisk.reader(folder);
+        return new granitefold.state.Disk() {
+            @Override
+            public byte[] read(String name, int most) throws IOException {
+                return disk.read(name, most);
+            }
+
+            @Override
+            public void write(String name, byte[] bytes) throws IOException {
+                throw new IOException("read only");
+            }
+
+            @Override
+            public void force(String name) throws IOException {
+                throw new IOException("read only");
+            }
+
+            @Override
+            public void rename(String from, String to) throws IOException {
+                throw new IOException("read only");
+            }
+
+            @Override
+            public void forceFolder() throws IOException {
+                throw new IOException("read only");
+            }
+        };
+    }
+
+    abstract static class OnFile implements Callable<Integer> {
+        @Parameters(index = "0", paramLabel = "PATH", description = "A state file, or the folder that state.dir names.")
+        protected Path path;
+        @Spec
+        protected CommandSpec spec;
+
+        protected PrintWriter out() {
+            return spec.commandLine().getOut();
+        }
+    }
+
+    @Command(name = "inspect", mixinStandardHelpOptions = true, description = "Print what a file holds, in short.")
+    static final class Inspect extends OnFile {
+        @Override
+        public Integer call() throws IOException {
+            StateFile.Content c = read(path);
+            out().printf("version %d, of %s (%d of %d), written %s%n", StateFile.VERSION, c.name(), c.me(), c.siblings(),
+                    java.time.Instant.ofEpochMilli(c.learned().at() / 1000));
+            out().printf("%d peers, %d kinds %s, %d buckets, %d keys%n", c.learned().peers().size(), c.learned().kinds().size(),
+                    c.kinds(), c.learned().buckets().size(), c.learned().keys().size());
+            c.learned().buckets().forEach(b -> out().printf("tenant %s: used %s, credit %.1f%n",
+                    c.tenants().get(b.tenant()), b.used(), b.credited()));
+            return 0;
+        }
+    }
+
+    @Command(name = "verify", mixinStandardHelpOptions = true, description = "Status 0 if whole, else 1 and where.")
+    static final class Verify extends OnFile {
+        @Override
+        public Integer call() throws IOException {
+            read(path);
+            out().println(path + ": whole");
+            return 0;
+        }
+    }
+
+    @Command(name = "diff", mixinStandardHelpOptions = true, description = "Status 0 if two files hold the same, else 1.")
+    static final class Diff extends OnFile {
+        @Parameters(index = "1", paramLabel = "OTHER")
+        private Path other;
+
+        @Override
+        public Integer call() throws IOException {
+            Map<String, String> a = flat(JSON.valueToTree(read(path)), "", new TreeMap<>());
+            Map<String, String> b = flat(JSON.valueToTree(read(other)), "", new TreeMap<>());
+            Map<String, String> all = new TreeMap<>(a);
+            all.putAll(b);
+            int differ = 0;
+            for (String key : all.keySet()) {
+                if (!java.util.Objects.equals(a.get(key), b.get(key))) {
+                    out().println(key + ": " + a.get(key) + " | " + b.get(key));
+                    differ++;
+                }
+            }
+            return differ == 0 ? 0 : Commands.NO;
+        }
+
+        private static Map<String, String> flat(JsonNode node, String path, Map<String, String> into) {
+            if (node.isContainerNode()) {
+                int i = 0;
+                if (node.isObject()) {
+                    for (Iterator<Map.Entry<String, JsonNode>> f = node.fields(); f.hasNext();) {
+                        Map.Entry<String, JsonNode> e = f.next();
+                        flat(e.getValue(), path.isEmpty() ? e.getKey() : path + "." + e.getKey(), into);
+                    }
+                } else {
+                    for (JsonNode n : node) {
+                        flat(n, path + "." + i++, into);
+                    }
+                }
+            } else {
+                into.put(path, node.asText());
+            }
+            return into;
+        }
+    }
+
+    @Command(name = "export", mixinStandardHelpOptions = true, description = "Write all that a file holds as JSON.")
+    static final class Export extends OnFile {
+        @Option(names = "--json", required = true, paramLabel = "FILE", description = "Where to; - for standard output.")
+        private String json;
+
+        @Override
+        public Integer call() throws IOException {
+            byte[] text = JSON.writeValueAsBytes(read(path));
+            if (json.equals("-")) {
+                out().println(new String(text, java.nio.charset.StandardCharsets.UTF_8));
+            } else {
+                Files.write(Path.of(json), text);
+            }
+            return 0;
+        }
+    }
+}
--- a/src/main/java/granitefold/core/Effect.java
+++ b/src/main/java/granitefold/core/Effect.java
@@ -1,6 +1,7 @@
 package granitefold.core;
 
 import granitefold.logging.LogEvent;
+import granitefold.recovery.Learned;
 
 /** What the reducer asks the adapters to do, in this order. */
 public sealed interface Effect {
@@ -50,6 +51,9 @@
     /** Tell balancers and operators how the dispatcher stands. */
     record Publish(Report report) implements Effect { }
 
+    /** Keep what was learned, where it outlives the process. */
+    record Keep(Learned learned) implements Effect { }
+
     /** Probe a peer and report {@link Event.Probed}. */
     record Probe(long peer, String address) implements Effect { }
 
--- a/src/main/java/granitefold/core/Event.java
+++ b/src/main/java/granitefold/core/Event.java
@@ -2,6 +2,7 @@
 
 import granitefold.availability.AvailabilitySettings;
 import granitefold.availability.Wish;
+import granitefold.recovery.Learned;
 
 /** What the adapters report to the reducer. Connections go by numbers: clients' by theirs, peers' by the core's. */
 public sealed interface Event {
@@ -66,6 +67,9 @@
     /** The operator's file was read anew, with other figures. */
     record Retuned(AvailabilitySettings availability) implements Event { }
 
+    /** What a former life learned has been read. */
+    record Recovered(Learned learned) implements Event { }
+
     /** A probe of a peer has come to its end. */
     record Probed(long peer, boolean well, String reason) implements Event { }
 
--- a/src/main/java/granitefold/core/Reducer.java
+++ b/src/main/java/granitefold/core/Reducer.java
@@ -58,6 +58,8 @@
     private final Attendance attendance;
     /** Null where neither probes nor tries are to say which peers look dead. */
     private final PeerHealth health;
+    /** Null where nothing outlives the process. */
+    private final Recollection recollection;
     private Watch watch;
     private Phase phase = Phase.STARTING;
     /** From then on answers close their connections. */
@@ -84,6 +86,8 @@
         pool = new Pool(bounds.peerConnections(), bounds.idleCloseUs(), timers, effects);
         clients = new Clients(bounds.clientConnections(), timers, effects);
         module = new Decide(settings, seed, new Sink());
+        recollection = extras.memory() == null ? null
+                : new Recollection(extras.memory(), settings.classes(), module, timers, effects);
     }
 
     public Phase phase() {
@@ -131,6 +135,9 @@
         }
         if (phase == Phase.FINISHING && owed.isEmpty()) {
             enter(Phase.STOPPED);
+            if (recollection != null) {
+                recollection.give(now);
+            }
             effects.add(new Effect.Stop());
         }
         if (timers.next() != wakeAt) {
@@ -198,6 +205,8 @@
             attendance.wished(e.wish(), now);
         } else if (event instanceof Event.Retuned e) {
             attendance.retuned(e.availability());
+        } else if (event instanceof Event.Recovered e && recollection != null) {
+            recollection.recovered(e.learned(), peers.values().stream().map(p -> p.listed).toList(), now);
         } else if (event instanceof Event.Probed e && health != null) {
             judged(health.probed(e.peer(), e.well(), e.reason(), now));
         }
@@ -223,6 +232,9 @@
             timers.at(now + START_US, t -> serve());
         }
         sweep(now);
+        if (recollection != null) {
+            recollection.begin(now);
+        }
         if (health != null) {
             health.begin(this::judged, peers, now);
         }
@@ -264,6 +276,12 @@
             reply(client, FinalAnswer.Rejected.BY_LIMIT);
             return;
         }
+        long blocked = recollection == null ? 0 : recollection.blocked(s, now);
+        if (blocked > 0) {
+            // a former life of ours may have sent it: by the end of its window a repeat is a job of its own
+            reply(client, new FinalAnswer.Rejected(blocked));
+            return;
+        }
         if (!names.add(s.name())) {
             // an answer or a cancel for one of the two would be taken for the other's
             reply(client, new FinalAnswer.Duplicate());
@@ -359,6 +377,9 @@
             end(t, Outcome.TIMED_OUT);
         });
         t.connection.state = PeerConnection.State.SENDING;
+        if (recollection != null) {
+            recollection.sent(t.context.submission, now);
+        }
         effects.add(new Effect.SendRequest(t.connection.id, t.context.submission.payload(), t.expiresAt - now));
     }
 
--- a/src/main/java/granitefold/logging/LogEvent.java
+++ b/src/main/java/granitefold/logging/LogEvent.java
@@ -27,6 +27,11 @@
     PEER_HEALTH("peer.health", Level.INFO, "peer: {} is {}: {}", "peer", "health", "reason"),
     PEER_PANIC("peer.panic", Level.WARN, "peers: {} of {} look dead, so none is taken to be", "down", "ready"),
     PROBES_OFF("probes.off", Level.WARN, "probes: off, {}", "reason"),
+    STATE_RECOVERED("state.recovered", Level.INFO, "state: recovered, {} ms old: {} peers, {} buckets, {} keys", "age_ms",
+            "peers", "buckets", "keys"),
+    STATE_DROPPED("state.dropped", Level.INFO, "state: dropped {}", "what"),
+    STATE_PROBLEM("state.problem", Level.WARN, "state: {}", "problem"),
+    STATE_EMPTY("state.empty", Level.INFO, "state: nothing to recover in {}", "folder"),
     INTERNAL_ERROR("internal.error", Level.ERROR, "internal error on {}", "what"),
     REPEATED("repeated", Level.INFO, "the last line of {} stands for {} more", "event", "count");
 
--- a/src/main/java/granitefold/net/Loop.java
+++ b/src/main/java/granitefold/net/Loop.java
@@ -9,6 +9,7 @@
 import granitefold.logging.EventLog;
 import granitefold.logging.LogEvent;
 import granitefold.operator.Operator;
+import granitefold.recovery.Learned;
 import granitefold.wire.Address;
 import granitefold.wire.BadWire;
 import granitefold.wire.Config;
@@ -27,6 +28,7 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
 
@@ -67,6 +69,7 @@
     /** What the operator's file adds; null where no part of it needs the loop. */
     private final Insight insight;
     private final Operator operator;
+    private Consumer<Learned> keeper;
 
     /** As the platform starts it. */
     public Loop(Config config) {
@@ -137,6 +140,16 @@
         return config.name();
     }
 
+    /** Who keeps what was learned; set before the start, where the operator has named a folder. */
+    public void keeper(Consumer<Learned> who) {
+        keeper = who;
+    }
+
+    /** What a former life left; from any thread. */
+    public void recovered(Learned learned) {
+        sockets.submit(() -> post(new Event.Recovered(learned)));
+    }
+
     /** How the dispatcher stands, readable from any thread; null where nothing tells it. */
     public Insight insight() {
         return insight;
@@ -279,6 +292,8 @@
         } else if (effect instanceof Effect.Sample) {
             post(new Event.Sampled(insight.sample((double) (clients.size() + peers.size() + RESERVED)
                     / config.sockets())));
+        } else if (effect instanceof Effect.Keep e) {
+            keeper.accept(e.learned());
         } else if (effect instanceof Effect.Publish e) {
             insight.publish(e.report());
         } else if (effect instanceof Effect.Probe e) {
--- a/src/main/java/granitefold/operator/Operator.java
+++ b/src/main/java/granitefold/operator/Operator.java
@@ -3,6 +3,7 @@
 import granitefold.availability.AvailabilitySettings;
 import granitefold.core.Extras;
 import granitefold.health.HealthSettings;
+import granitefold.recovery.AgeingSettings;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
@@ -15,10 +16,10 @@
  * @param health probes and ejection of peers
  */
 public record Operator(Log log, Agent agent, Http http, Control control, Clients clients, AvailabilitySettings availability,
-        HealthSettings health, Probe probe) {
+        HealthSettings health, Probe probe, State state) {
     /** Everything off: the platform's start. */
     public static final Operator NONE = new Operator(new Log(false), null, null, null,
-            new Clients(false, Set.of(), false, false), AvailabilitySettings.DEFAULTS, null, new Probe("/healthz"));
+            new Clients(false, Set.of(), false, false), AvailabilitySettings.DEFAULTS, null, new Probe("/healthz"), null);
 
     /** Eight connections, the listener and the lock; a selector's own. */
     private static final int CONTROL_DESCRIPTORS = 10, SELECTOR_DESCRIPTORS = 3;
@@ -46,6 +47,9 @@
     /** {@code from}: addresses that may send a PROXY header; empty: any. */
     public record Clients(boolean proxy, Set<InetAddress> from, boolean envoy, boolean orca) { }
 
+    /** Where what was learned is kept: folder, how often it is written, and how many generations. */
+    public record State(Path dir, long everyUs, int keep) { }
+
     /** How a peer is probed over HTTP: a GET of this path must be answered by 200. */
     public record Probe(String path) { }
 
@@ -74,6 +78,7 @@
                     h.fall(), h.atOnce(), h.panic(), h.slowStart(), h.failures(), h.ejectUs(), h.ejectMostUs(),
                     h.ejectShare());
         }
-        return new Extras(tells() ? availability : null, h);
+        return new Extras(tells() ? availability : null, h,
+                state == null ? null : new Extras.Memory(state.everyUs(), AgeingSettings.DEFAULTS));
     }
 }
--- a/src/main/java/granitefold/operator/OperatorFile.java
+++ b/src/main/java/granitefold/operator/OperatorFile.java
@@ -132,10 +132,11 @@
         Section overload = availability.section("overload");
         Section probe = all.section("probe");
         Section eject = all.section("eject");
+        Section state = all.section("state");
         Operator operator = new Operator(new Operator.Log(log.word("format", "text", "text", "json").equals("json")),
                 agent(agent), http(http), control(control), clients(clients), availability(availability, overload),
-                health(probe, eject), probe(probe));
-        for (Section s : List.of(log, agent, http, checks, control, clients, overload, availability, probe, eject, all)) {
+                health(probe, eject), probe(probe), state(state));
+        for (Section s : List.of(log, agent, http, checks, control, clients, overload, availability, probe, eject, state, all)) {
             s.finish();
         }
         return operator;
@@ -208,6 +209,13 @@
         return h.probes() || h.failures() > 0 ? h : null;
     }
 
+    private static Operator.State state(Section s) {
+        String dir = s.text("dir", "", "an absolute path", v -> v.startsWith("/") && v.indexOf('\0') < 0);
+        Operator.State state = new Operator.State(dir.isEmpty() ? null : Path.of(dir), s.time("every", 1_000_000, 100, HOUR_MS),
+                s.whole("keep", 2, 2, 10));
+        return dir.isEmpty() ? null : state;
+    }
+
     private static Operator.Probe probe(Section s) {
         return new Operator.Probe(s.text("path", Operator.NONE.probe().path(), "a path of visible ASCII that begins with /",
                 v -> v.matches("/[!-~]{0,200}")));
@@ -231,6 +239,9 @@
         if (!java.util.Objects.equals(from.probe(), to.probe())) {
             keys.add("probe.path");
         }
+        if (!java.util.Objects.equals(from.state(), to.state())) {
+            keys.add("state");
+        }
         if (!from.checks() && to.checks()) {
             keys.add("checks");
         }
--- a/src/main/java/granitefold/standin/Cocinero.java
+++ b/src/main/java/granitefold/standin/Cocinero.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -25,6 +26,10 @@
     private final Semaphore slots;
     private volatile Mood mood = Mood.WELL;
     private volatile double slowness = 1;
+    /** Keys that it keeps, the last one used last, and what a fetch takes. */
+    private final Map<String, Boolean> kept = new LinkedHashMap<>(16, 0.75f, true);
+    private volatile int keepMost;
+    private volatile long fetchUs;
 
     public Cocinero(String name, int slots) throws IOException {
         this.name = name;
@@ -40,6 +45,26 @@
         slowness = factor;
     }
 
+    /** Keeps so many keys ({@code sid}); a job of another one holds its slot for a fetch before it runs. */
+    public void keeps(int most, long fetchTimeUs) {
+        keepMost = most;
+        fetchUs = fetchTimeUs;
+    }
+
+    private long fetch(String target) {
+        int at = target.indexOf("sid=");
+        if (keepMost == 0 || at < 0) {
+            return 0;
+        }
+        synchronized (kept) {
+            boolean here = kept.put(target.substring(at), true) != null;
+            if (kept.size() > keepMost) {
+                kept.remove(kept.keySet().iterator().next());
+            }
+            return here ? 0 : fetchUs;
+        }
+    }
+
     /** Ids that were started more than once. */
     public long repeated() {
         return starts.values().stream().filter(n -> n > 1).count();
@@ -69,7 +94,7 @@
         try {
             starts.merge(e.head.get("x-txn"), 1, Integer::sum);
             e.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(about + "\"started\"}\n"));
-            long us = (long) (Long.parseLong(e.head.getOrDefault("x-estimate", UNTOLD)) * slowness);
+            long us = (long) (Long.parseLong(e.head.getOrDefault("x-estimate", UNTOLD)) * slowness) + fetch(e.first.split(" ")[1]);
             Thread.sleep(us / 1000, (int) (us % 1000) * 1000);
         } finally {
             slots.release();
--- a/src/main/java/granitefold/standin/Experiment.java
+++ b/src/main/java/granitefold/standin/Experiment.java
@@ -1,17 +1,21 @@
 package granitefold.standin;
 
 import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
+import org.apache.commons.math3.stat.descriptive.rank.Median;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
 /** Experiments with a small fleet and a stand-in balancer; each prints a table. */
 @Command(name = "experiment", mixinStandardHelpOptions = true, subcommands = {Experiment.Demo.class, Experiment.DrainRun.class,
-    Experiment.Kill.class, Experiment.Slow.class})
+    Experiment.Kill.class, Experiment.Slow.class, Experiment.Restart.class})
 public final class Experiment implements Callable<Integer> {
     private static final String QUICK = "availability.slow-start = 1s\n";
     private static final long ANSWERS_S = 30;
@@ -172,6 +176,72 @@
         }
     }
 
+    @Command(name = "restart", mixinStandardHelpOptions = true,
+            description = "The only dispatcher is killed and comes back, with and without its state file, paired by seed.")
+    static final class Restart extends Run {
+        private static final int BEFORE_S = 8, AWAY_MS = 2000, AFTER_S = 14, WINDOW = 10;
+        private static final double WITHIN = 0.02;
+        @Option(names = "--pairs", defaultValue = "10", description = "Pairs of runs (${DEFAULT-VALUE}).")
+        private int pairs;
+
+        @Override
+        public Integer call() throws Exception {
+            System.out.printf("%4s %22s %22s %22s%n", "pair", "level before", "back after, s", "in time, first 2 s");
+            System.out.printf("%4s %10s %11s %10s %11s %10s %11s%n", "", "with", "without", "with", "without", "with", "without");
+            double[] with = new double[pairs];
+            double[] without = new double[pairs];
+            for (int i = 0; i < pairs; i++) {
+                double[] a = run(i, true);
+                double[] b = run(i, false);
+                with[i] = a[1];
+                without[i] = b[1];
+                System.out.printf(Locale.ROOT, "%4d %10.3f %11.3f %10.1f %11.1f %10.3f %11.3f%n", i + 1, a[0], b[0], a[1], b[1],
+                        a[2], b[2]);
+            }
+            Median median = new Median();
+            System.out.printf(Locale.ROOT, "median %.2f s with, %.2f s without%n", median.evaluate(with), median.evaluate(without));
+            return 0;
+        }
+
+        /** Level before the kill, seconds until service is back at it, share served in time in the first 2 s. */
+        private double[] run(int seed, boolean file) throws Exception {
+            Path folder = Files.createTempDirectory("restart");
+            try (Fleet fleet = new Fleet(4, 6)) {
+                for (int i = 0; i < fleet.cocineros.size(); i++) {
+                    fleet.cocineros.get(i).slowness(0.6 + 0.6 * i);
+                    fleet.cocineros.get(i).keeps(10, 150_000);
+                }
+                Fleet.Dispatcher d = fleet.dispatcher(QUICK + (file ? "state.dir = \"" + folder + "\"\n" : ""),
+                        fleet.discovery.list(null));
+                d.start();
+                d.awaitLog("phase: SERVING");
+                try (Balancer balancer = fleet.balancer(CheckRules.NONE)) {
+                    Load load = new Load("r" + seed, balancer, rate, workUs).keys(24, seed).begin(Long.MAX_VALUE);
+                    Thread.sleep(BEFORE_S * 1000L);
+                    int killed = load.slice();
+                    d.kill();
+                    Thread.sleep(AWAY_MS);
+                    d.start();
+                    d.awaitLog("phase: SERVING");
+                    int back = load.slice();
+                    Thread.sleep(AFTER_S * 1000L);
+                    load.stop();
+                    load.await(ANSWERS_S);
+                    double level = load.timely(killed - 35, killed - 5);
+                    int slices = back;
+                    while (slices < back + AFTER_S * 10 - WINDOW && load.timely(slices, slices + WINDOW) < level - WITHIN) {
+                        slices++;
+                    }
+                    return new double[] {level, (slices - back) / 10.0, load.timely(back, back + 20)};
+                }
+            } finally {
+                for (Path p : Files.walk(folder).sorted(Comparator.reverseOrder()).toList()) {
+                    Files.delete(p);
+                }
+            }
+        }
+    }
+
     /** What happens to the fleet in the middle of a load. */
     interface Trouble {
         void on(Fleet fleet, Load load) throws IOException, InterruptedException;
--- /dev/null
+++ b/src/main/java/granitefold/state/Places.java
@@ -0,0 +1,55 @@
+package granitefold.state;
+
+import granitefold.recovery.Learned;
+import granitefold.state.StateFile.Content;
+import java.util.List;
+
+/**
+ * Takes a file's places over to those of the present settings: tenants and kinds by their names, a dispatcher's own use by
+ * its number. What has no place any more is left out.
+ */
+public record Places(String name, int me, int siblings, List<String> tenants, List<String> kinds) {
+
+    public Content content(Learned learned) {
+        return new Content(name, me, siblings, tenants, kinds, learned);
+    }
+
+    /** What of a file is ours; null where it is another dispatcher's. */
+    public Learned here(Content c) {
+        if (!c.name().equals(name)) {
+            return null;
+        }
+        Learned l = c.learned();
+        return new Learned(l.at(), l.fetchUs(), l.kept(), l.meanWork(), l.works(),
+                l.kinds().stream().filter(k -> kind(c, k.kind()) != MISSING)
+                        .map(k -> new Learned.Kind(kind(c, k.kind()), k.sum(), k.weight(), k.slots())).toList(),
+                l.peers().stream().filter(p -> kind(c, p.kind()) != MISSING).map(p -> new Learned.Peer(p.id(),
+                        kind(c, p.kind()), p.startedAt(), p.lostAt(), p.sum(), p.weight(), p.slots(), p.work(), p.kept())).toList(),
+                l.buckets().stream().filter(b -> b.tenant() >= 0 && b.tenant() < c.tenants().size()
+                        && tenants.contains(c.tenants().get(b.tenant()))).map(b -> new Learned.Bucket(
+                        tenants.indexOf(c.tenants().get(b.tenant())), used(c, b.used()), b.credited(), b.refilledAt())).toList(),
+                l.keys());
+    }
+
+    private static final int MISSING = Integer.MIN_VALUE;
+
+    /** -1 stands for a kind that has no name, then as now. */
+    private int kind(Content c, int kind) {
+        if (kind == -1) {
+            return -1;
+        }
+        int here = kind < 0 || kind >= c.kinds().size() ? -1 : kinds.indexOf(c.kinds().get(kind));
+        return here < 0 ? MISSING : here;
+    }
+
+    /** The others' entries are theirs only while the numbers mean the same dispatchers. */
+    private List<Long> used(Content c, List<Long> old) {
+        if (c.siblings() == siblings && c.me() == me && old.size() == siblings) {
+            return old;
+        }
+        Long[] used = new Long[siblings];
+        java.util.Arrays.fill(used, 0L);
+        used[me] = c.me() >= 0 && c.me() < old.size() ? old.get(c.me()) : 0;
+        return List.of(used);
+    }
+}
--- a/src/main/java/granitefold/wire/ClientRequest.java
+++ b/src/main/java/granitefold/wire/ClientRequest.java
@@ -70,7 +70,8 @@
             }
         }
         return new Submission(txn, jobClass, tenant, remaining * 1000, whole(head.get(ESTIMATE), ESTIMATE, 0), slots,
-                memory, Words.key(key(uri.getQuery())), new ClientRequest(method, target, txn, passed(head), body));
+                memory, Words.key(key(uri.getQuery())), new ClientRequest(method, target, txn, passed(head), body),
+                words.keyed(jobClass) ? key : null);
     }
 
     /** The target, if it passes on to a peer just as it came. */
--- a/src/main/java/granitefold/wire/Config.java
+++ b/src/main/java/granitefold/wire/Config.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.core.JsonStreamContext;
 import com.fasterxml.jackson.core.JsonToken;
 import granitefold.core.PeerList;
+import granitefold.state.Places;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -23,6 +24,12 @@
     private static final JsonFactory JSON = new JsonFactory();
     private static final int SOCKETS_UNTOLD = 1024;
 
+    /** What places in the settings stand for, for a state file. */
+    public Places places() {
+        return new Places(name, words.settings().me(), words.settings().siblings(), Vocabulary.names(words.tenants()),
+                Vocabulary.names(words.kinds()));
+    }
+
     /** The settings that hold, as {@code granitefold check} prints them. */
     public Map<String, String> effective() {
         Map<String, String> all = new LinkedHashMap<>();
--- a/src/main/java/granitefold/wire/Vocabulary.java
+++ b/src/main/java/granitefold/wire/Vocabulary.java
@@ -16,6 +16,11 @@
         return Map.copyOf(places);
     }
 
+    /** The names in the order of their places. */
+    static List<String> names(Map<String, Integer> places) {
+        return places.entrySet().stream().sorted(Map.Entry.comparingByValue()).map(Map.Entry::getKey).toList();
+    }
+
     boolean keyed(int jobClass) {
         return settings.classes().get(jobClass).effect() == Effect.KEYED;
     }
--- a/src/test/java/granitefold/real/RealProgram.java
+++ b/src/test/java/granitefold/real/RealProgram.java
@@ -149,6 +149,16 @@
         throw new AssertionError("no '" + part + "' in the log:\n" + String.join("\n", log));
     }
 
+    /** The same for a line that may have come already. */
+    String hasLogged(String part) throws InterruptedException {
+        for (String line : log) {
+            if (line.contains(part)) {
+                return line;
+            }
+        }
+        return awaitLog(part);
+    }
+
     /** Takes in what the log has by now. */
     void drainLog() {
         lines.drainTo(log);
--- /dev/null
+++ b/src/test/java/granitefold/real/StateIT.java
@@ -0,0 +1,151 @@
+package granitefold.real;
+
+import static granitefold.real.RealProgram.request;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import granitefold.real.RealProgram.Exchange;
+import granitefold.real.RealProgram.Peer;
+import granitefold.state.RealDisk;
+import granitefold.state.StateFile;
+import granitefold.state.StateStore;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** The real program killed and back, with a folder that lasts. */
+public class StateIT {
+    private static final String TIME = "X-Remaining-Ms: 20000\r\nX-Estimate: 100000\r\n";
+    private final Map<String, String> fields = new HashMap<>();
+    private Path folder;
+    private Peer a;
+    private RealProgram program;
+
+    @BeforeMethod
+    public void setUp() throws IOException {
+        folder = Files.createTempDirectory("state");
+        a = new Peer("s-a");
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void close() throws IOException {
+        program.close();
+        a.close();
+        if (Files.exists(folder)) {
+            for (Path p : Files.walk(folder).sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(p);
+            }
+        }
+    }
+
+    private RealProgram start() throws Exception {
+        program = new RealProgram("state.dir = \"" + folder + "\"\nstate.every = 100ms\n", fields, a);
+        program.serving();
+        return program;
+    }
+
+    /** Waits until the file holds what is looked for. */
+    private StateFile.Content await(Predicate<StateFile.Content> what) throws Exception {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(RealProgram.PATIENCE_S);
+        while (true) {
+            byte[] file = RealDisk.reader(folder).read("learned.state", StateFile.LENGTH_MOST);
+            if (file != null && what.test(StateFile.decode(file))) {
+                return StateFile.decode(file);
+            }
+            assertTrue(System.nanoTime() - until < 0, "the file never holds it");
+            Thread.onSpinWait();
+        }
+    }
+
+    private Exchange save(String txn, String key) throws IOException {
+        return program.client().write(request("/guardar", txn, TIME + "Idempotency-Key: " + key + "\r\n", "soup"));
+    }
+
+    @Test
+    public void aKeyedJobOfAFormerLifeIsNotSentAgainWithinItsWindow() throws Exception {
+        start();
+        save("t1", "k1");
+        Exchange running = a.accept().answer("started");
+        await(c -> !c.learned().keys().isEmpty());
+        program.process.destroyForcibly().waitFor();
+        running.close();
+        program.close();
+        start();
+        program.hasLogged("state: recovered");
+        Exchange repeat = save("t2", "k1");
+        assertEquals(repeat.status(), 503);
+        assertTrue(Double.parseDouble(repeat.head.get("retry-after")) > 1, repeat.head.toString());
+        Exchange other = save("t3", "k2");
+        a.accept().answer("done").end();
+        assertEquals(other.status() + other.body, "200made soup");
+    }
+
+    @Test
+    public void whatWasLearnedComesBackAndAPlannedEndWritesTheLast() throws Exception {
+        start();
+        a.serve("started", "done");
+        for (int i = 0; i < 20; i++) {
+            assertEquals(program.client().write(request("/ficha", "t" + i, TIME + "Connection: close\r\n", "")).status(), 200);
+        }
+        program.signal("TERM");
+        assertTrue(program.process.waitFor(RealProgram.PATIENCE_S, TimeUnit.SECONDS));
+        assertEquals(program.process.exitValue(), 0);
+        StateFile.Content c = await(x -> true);
+        assertEquals(c.learned().buckets().get(0).used().get(0), Long.valueOf(20), "each request's use is in it");
+        assertTrue(c.learned().peers().get(0).weight() > 5, c.learned().peers().toString());
+        program.close();
+        start();
+        assertTrue(program.hasLogged("state: recovered").contains("1 peers, 1 buckets"));
+        await(x -> x.learned().at() > c.learned().at() && x.learned().buckets().get(0).used().get(0) >= 20
+                && x.learned().peers().get(0).weight() > 1);
+    }
+
+    @Test
+    public void aSecondProcessServesWithoutTheFolder() throws Exception {
+        start();
+        await(c -> true);
+        try (RealProgram second = new RealProgram("state.dir = \"" + folder + "\"\n", Map.of(), a)) {
+            second.serving();
+            assertTrue(second.hasLogged("state: nothing is kept").contains("held by another process"));
+        }
+    }
+
+    @Test
+    public void aFolderThatGoesAwayIsToldAndServiceGoesOn() throws Exception {
+        start();
+        await(c -> true);
+        for (Path p : Files.list(folder).toList()) {
+            Files.deleteIfExists(p);
+        }
+        Files.deleteIfExists(folder);
+        program.awaitLog("state: not written");
+        a.serve("done");
+        assertEquals(program.client().write(request("/ficha", "t1", TIME, "")).status(), 200);
+        Files.createDirectory(folder);
+        await(c -> true);
+    }
+
+    @Test
+    public void rubbishAndLinksAreToldAndTheStartGoesOnEmpty() throws Exception {
+        Files.writeString(folder.resolve("learned.state"), "rubbish that is long enough to have a head in it");
+        Path elsewhere = Files.createTempFile("elsewhere", ".state");
+        Files.createSymbolicLink(folder.resolve("learned.state.1"), elsewhere);
+        program = new RealProgram("state.dir = \"" + folder + "\"\nstate.every = 100ms\n", fields, a);
+        assertTrue(program.awaitLog("state: learned.state:").contains("not a state file"));
+        assertTrue(program.awaitLog("state: learned.state.1:").contains("not a file"));
+        program.awaitLog("state: nothing to recover");
+        await(c -> c.name().equals("n0"));
+        assertEquals(Files.readString(folder.resolve("learned.aside")).substring(0, 7), "rubbish");
+        assertEquals(Files.size(elsewhere), 0);
+        Files.delete(elsewhere);
+        assertEquals(new StateStore(RealDisk.reader(folder), 2).load().problems().size(), 0);
+    }
+}
--- /dev/null
+++ b/src/test/java/granitefold/state/SaveLoop.java
@@ -0,0 +1,27 @@
+package granitefold.state;
+
+import granitefold.recovery.Learned;
+import java.nio.file.Path;
+import java.util.List;
+
+/** Saves numbered contents one after the other, and prints each number once its save has come back; until it is killed. */
+final class SaveLoop {
+    private SaveLoop() { }
+
+    public static void main(String[] args) throws Exception {
+        try (RealDisk disk = RealDisk.open(Path.of(args[0]))) {
+            StateStore store = new StateStore(disk, 2);
+            StateStore.Found found = store.load();
+            long n = found.content() == null ? 0 : found.content().learned().at();
+            System.out.println("found " + n + " " + found.problems());
+            while (true) {
+                n++;
+                StateFile.Content c = StateFileTest.content(200, n);
+                Learned l = c.learned();
+                store.save(new StateFile.Content(c.name(), 0, 1, c.tenants(), c.kinds(), new Learned(n, l.fetchUs(), l.kept(),
+                        l.meanWork(), l.works(), l.kinds(), l.peers(), l.buckets(), List.of())));
+                System.out.println("saved " + n);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/granitefold/state/StateFileTest.java
@@ -0,0 +1,114 @@
+package granitefold.state;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import granitefold.recovery.Learned;
+import granitefold.state.StateFile.Content;
+import granitefold.state.StateFile.Fault;
+import granitefold.state.StateFile.Unreadable;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.zip.CRC32C;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+/** A file is read as it was written, or not at all. */
+class StateFileTest {
+    static Content content(int peers, long seed) {
+        SplittableRandom r = new SplittableRandom(seed);
+        List<Learned.Peer> ps = new ArrayList<>();
+        for (int i = 0; i < peers; i++) {
+            ps.add(new Learned.Peer(r.nextLong(1L << 42), r.nextInt(-1, 2), r.nextLong(1L << 50), r.nextLong(1L << 50),
+                    r.nextDouble(-9, 9), r.nextDouble(20), r.nextInt(9), r.nextDouble(1e6),
+                    r.longs(r.nextInt(20)).boxed().toList()));
+        }
+        return new Content("n" + r.nextInt(9), 1, 3, List.of("cocina-de-casa", "dulce-tarde"), List.of("nuevo-5n", "viejo-6n"),
+                new Learned(r.nextLong(1L << 50), 3e5, 6.5, 4e5, 900, List.of(new Learned.Kind(1, -0.3, 40, 6)), ps,
+                List.of(new Learned.Bucket(0, List.of(5L, 6L, 7L), 123.5, 99)), List.of(new Learned.Key(r.nextLong(), 77))));
+    }
+
+    @Property(tries = 200)
+    void whatIsWrittenIsRead(@ForAll long seed, @ForAll @IntRange(max = 40) int peers) throws Unreadable {
+        Content c = content(peers, seed);
+        assertEquals(c, StateFile.decode(StateFile.encode(c)));
+    }
+
+    /** Every prefix and every flipped bit of a real file. */
+    @Test
+    void noPrefixAndNoFlippedBitIsTakenForAFile() {
+        byte[] file = StateFile.encode(content(12, 3));
+        int refused = 0;
+        for (int n = 0; n < file.length; n++) {
+            byte[] cut = Arrays.copyOf(file, n);
+            assertThrows(Unreadable.class, () -> StateFile.decode(cut));
+            refused++;
+        }
+        for (int bit = 0; bit < file.length * 8; bit++) {
+            byte[] flipped = file.clone();
+            flipped[bit / 8] ^= (byte) (1 << bit % 8);
+            assertThrows(Unreadable.class, () -> StateFile.decode(flipped), "bit " + bit);
+            refused++;
+        }
+        assertEquals(file.length * 9, refused);
+        assertThrows(Unreadable.class, () -> StateFile.decode(Arrays.copyOf(file, file.length + 1)), "longer");
+    }
+
+    @Test
+    void anotherVersionOrProgramIsToldApart() {
+        byte[] file = StateFile.encode(content(2, 1));
+        assertEquals(Fault.NEWER, fault(version(file, StateFile.VERSION + 1)));
+        assertEquals(Fault.FOREIGN, fault(version(file, StateFile.VERSION - 1)), "there was no version 0");
+        byte[] foreign = file.clone();
+        foreign[0] = 'G';
+        assertEquals(Fault.FOREIGN, fault(foreign));
+        assertEquals(Fault.DAMAGED, fault(new byte[0]));
+    }
+
+    static byte[] version(byte[] file, int version) {
+        byte[] other = file.clone();
+        ByteBuffer.wrap(other).putShort(StateFile.MAGIC.length, (short) version);
+        CRC32C crc = new CRC32C();
+        crc.update(other, 0, 28);
+        ByteBuffer.wrap(other).putInt(28, (int) crc.getValue());
+        return other;
+    }
+
+    private static Fault fault(byte[] file) {
+        return assertThrows(Unreadable.class, () -> StateFile.decode(file)).fault();
+    }
+
+    @Test
+    void tenThousandPeersStayUnderTheirBound() {
+        SplittableRandom r = new SplittableRandom(5);
+        List<Learned.Peer> peers = new ArrayList<>();
+        for (int i = 0; i < 10_000; i++) {
+            peers.add(new Learned.Peer(r.nextLong(1L << 42), 1, 0, 0, r.nextDouble(), 20, 6, 0, r.longs(12).boxed().toList()));
+        }
+        List<Learned.Bucket> buckets = new ArrayList<>();
+        for (int i = 0; i < 4096; i++) {
+            buckets.add(new Learned.Bucket(i, List.of(r.nextLong(1L << 40), 0L, 0L), r.nextDouble(1e9), 1L << 50));
+        }
+        byte[] file = StateFile.encode(new Content("n", 0, 3, List.of(), List.of(), new Learned(0, 1, 1, 1, 1, List.of(), peers,
+                buckets, List.of())));
+        assertTrue(file.length < 4 << 20, file.length + " bytes");
+    }
+
+    @Test
+    void placesFollowTheirNamesAndAnothersFileIsNotOurs() {
+        Content c = content(3, 9);
+        Places turned = new Places(c.name(), 0, 2, List.of("dulce-tarde", "cocina-de-casa"), List.of("viejo-6n"));
+        Learned here = turned.here(c);
+        assertEquals(0, here.kinds().get(0).kind());
+        assertEquals(1, here.buckets().get(0).tenant());
+        assertEquals(List.of(6L, 0L), here.buckets().get(0).used(), "our own use moves to our number, others' are unknown");
+        assertTrue(here.peers().stream().allMatch(p -> p.kind() == -1 || p.kind() == 0));
+        assertEquals(null, new Places("other", 0, 2, List.of(), List.of()).here(c));
+    }
+}
