Ageing says nothing of buckets' credit, which it never dropped

The module caps the credit at capacity when it takes a bucket in, so nothing needs dropping; the reason, its time constant and two idle parameters go.

--- a/src/main/java/granitefold/recovery/Ageing.java
+++ b/src/main/java/granitefold/recovery/Ageing.java
@@ -10,7 +10,8 @@
 /**
  * Takes what was learned over the time that has passed since, and over a list that may have changed. Everything errs to
  * the safe side: what is older than its use, of a worker that restarted since, or from the future, is dropped; what
- * could break a rule (work sent to cold workers, keys that may have run) is kept for its whole span.
+ * could break a rule (work sent to cold workers, keys that may have run) is kept for its whole span, and buckets' counts, which only grow,
+ * for good: the module refills their credit for the time away, to their capacity at the most.
  */
 public final class Ageing {
     /** A file may be ahead of the clock by so much and still be believed: clocks are set. */
@@ -32,7 +33,7 @@
         if (age < -AHEAD_US) {
             // the clock was set back: no age can be told. Keys and cold work still hold, as if written just now
             reasons.add("written " + -age / 1_000_000 + " s in the future: only keys and work sent to cold peers are kept");
-            return new Aged(new Learned(now, 0, 0, 0, 0, List.of(), cold(old, now, reasons), List.of(), keys(old, old.at(), now)),
+            return new Aged(new Learned(now, 0, 0, 0, 0, List.of(), cold(old, now), List.of(), keys(old, old.at(), now)),
                     reasons);
         }
         age = Math.max(0, age);
@@ -41,7 +42,7 @@
             reasons.add("fetch time and mean work: " + age / 1_000_000 + " s old");
         }
         return new Aged(new Learned(now, fetch ? old.fetchUs() : 0, fetch ? old.kept() : 0, fetch ? old.meanWork() : 0,
-                fetch ? old.works() : 0, kinds(old, age, reasons), peers(old, list, age, reasons), buckets(old, age, reasons),
+                fetch ? old.works() : 0, kinds(old, age, reasons), peers(old, list, age, reasons), old.buckets(),
                 keys(old, now, now)), reasons);
     }
 
@@ -98,19 +99,11 @@
     }
 
     /** Only what was sent to cold workers, for workers that the list need not name yet. */
-    private static List<Learned.Peer> cold(Learned old, long now, List<String> reasons) {
+    private static List<Learned.Peer> cold(Learned old, long now) {
         return old.peers().stream().filter(p -> p.work() > 0).map(p -> new Learned.Peer(p.id(), p.kind(), p.startedAt(),
                 Math.min(p.lostAt(), now), 0, 0, 0, p.work(), List.of())).toList();
     }
 
-    private List<Learned.Bucket> buckets(Learned old, long age, List<String> reasons) {
-        if (!holds(age, set.bucketUs())) {
-            // the counts still hold, as they only grow; the credit is as good as a new bucket's
-            reasons.add("buckets' credit: " + age / 1_000_000 + " s old");
-        }
-        return old.buckets();
-    }
-
     private static List<Learned.Key> keys(Learned old, long from, long now) {
         // from the future: the whole span that is left of each counts from now
         return old.keys().stream().filter(k -> k.until() > from).map(k -> new Learned.Key(k.key(),
--- a/src/main/java/granitefold/recovery/AgeingSettings.java
+++ b/src/main/java/granitefold/recovery/AgeingSettings.java
@@ -8,9 +8,8 @@
  * @param kindUs a kind's speed and slots: machines of a kind stay what they are
  * @param fetchUs the fetch's time and the number of kept keys
  * @param keptUs which keys a worker keeps
- * @param bucketUs a bucket, past which it has refilled in any case
  */
-public record AgeingSettings(long speedUs, long kindUs, long fetchUs, long keptUs, long bucketUs, double uses) {
+public record AgeingSettings(long speedUs, long kindUs, long fetchUs, long keptUs, double uses) {
     private static final long S = 1_000_000;
-    public static final AgeingSettings DEFAULTS = new AgeingSettings(60 * S, 86_400 * S, 3_600 * S, 30 * S, 60 * S, 5);
+    public static final AgeingSettings DEFAULTS = new AgeingSettings(60 * S, 86_400 * S, 3_600 * S, 30 * S, 5);
 }
