The stale-list test kills a serving dispatcher first, as its hard case says

Read again: the test said 'killed and back' and only started once with a wrong list. It now serves, is killed by SIGKILL, and starts on a list none of whose peers is there.

--- a/src/test/java/granitefold/real/ChecksIT.java
+++ b/src/test/java/granitefold/real/ChecksIT.java
@@ -174,6 +174,10 @@
     /** Killed and back with a saved list that is wrong in all, while discovery says nothing. */
     @Test
     public void aStaleListIsNoFullHealth() throws Exception {
+        start("");
+        await("up 100%");
+        program.process.destroyForcibly().waitFor();
+        program.close();
         try (Peer gone = new Peer("s-gone")) {
             String wrong = list(1, true, gone);
             gone.close();
