The state commands' exit statuses are tested on whole, damaged and missing files

Scripts go by them and nothing held them. Whole 0, one flipped bit 1, missing 1, wrong usage 64, and what export writes is read back.

--- a/src/test/java/granitefold/cli/CommandsTest.java
+++ b/src/test/java/granitefold/cli/CommandsTest.java
@@ -2,8 +2,12 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
+import granitefold.recovery.Learned;
+import granitefold.state.StateFile;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -40,4 +44,23 @@
         assertEquals(1, Commands.run("status", "--socket", folder.resolve("none").toString()));
         assertEquals(1, Commands.run("drain", "--operator", "deploy/operator.conf"), "it names no socket");
     }
+
+    @Test
+    void stateCommandsTellWholeFilesFromDamaged() throws Exception {
+        Learned l = new Learned(7, 1, 1, 1, 1, List.of(), List.of(), List.of(new Learned.Bucket(0, List.of(3L), 2, 1)), List.of());
+        byte[] bytes = StateFile.encode(new StateFile.Content("n0", 0, 1, List.of("acme"), List.of(), l));
+        Path whole = Files.write(folder.resolve("learned.state"), bytes);
+        bytes[50] ^= 1;
+        Path damaged = Files.write(folder.resolve("damaged"), bytes);
+        Path json = folder.resolve("out.json");
+        assertEquals(0, Commands.run("state", "verify", whole.toString()));
+        assertEquals(0, Commands.run("state", "verify", folder.toString()));
+        assertEquals(1, Commands.run("state", "verify", damaged.toString()));
+        assertEquals(1, Commands.run("state", "verify", folder.resolve("none").toString()));
+        assertEquals(0, Commands.run("state", "inspect", whole.toString()));
+        assertEquals(0, Commands.run("state", "diff", whole.toString(), whole.toString()));
+        assertEquals(0, Commands.run("state", "export", whole.toString(), "--json", json.toString()));
+        assertEquals("acme", new ObjectMapper().readTree(json.toFile()).at("/tenants/0").asText());
+        assertEquals(64, Commands.run("state", "frob"));
+    }
 }
