--- a/deploy/serve.sh
+++ b/deploy/serve.sh
@@ -1,11 +1,29 @@
 #!/bin/sh
 # Starts one real dispatcher, with flags of `serve` if any are given, in the memory that its configuration allows it. What the JVM needs beside the heap does not
 # shrink with the limit, so the heap takes what is left: 64 MB covers code, classes, threads and buffers (DESIGN.md).
-memory=$(sed -n 's/.*"memory_mb" *: *\([0-9][0-9]*\).*/\1/p' "${LB_CONFIG:-/dev/null}" 2>/dev/null | head -n 1)
+# All in the shell's own words: where the fleet runs, nothing may be forked on the way to the one process.
+memory=
+while [ -z "$memory" ] && { IFS= read -r line || [ -n "$line" ]; }; do
+    case $line in
+    *'"memory_mb"'*)
+        rest=${line##*'"memory_mb"'}
+        rest=${rest%%[,\}]*}
+        # spaces either side of the colon
+        while :; do
+            case $rest in
+            ' '*) rest=${rest#' '} ;;
+            :*) rest=${rest#:} ;;
+            *) break ;;
+            esac
+        done
+        memory=${rest%%[!0-9]*}
+        ;;
+    esac
+done 2>/dev/null <"${LB_CONFIG:-/dev/null}"
 heap=$((${memory:-192} - 64))
 [ "$heap" -le 88 ] || heap=88
 [ "$heap" -ge 16 ] || heap=16
 exec java -XX:+UseSerialGC -Xmx${heap}m -Xss512k -XX:MaxMetaspaceSize=40m -XX:MaxDirectMemorySize=16m \
     -XX:ReservedCodeCacheSize=24m -XX:TieredStopAtLevel=1 -XX:SharedArchiveFile=target/granitefold.jsa \
     -Xlog:cds=off -Xlog:cds+dynamic=off -XX:-UsePerfData -XX:+ExitOnOutOfMemoryError \
-    -jar target/granitefold.jar serve "$@"
+    -Djava.net.preferIPv4Stack=true -jar target/granitefold.jar serve "$@"
--- a/src/test/java/granitefold/real/RealProgram.java
+++ b/src/test/java/granitefold/real/RealProgram.java
@@ -98,14 +98,19 @@
 
     private static Process launch(Path file, Path operator) throws IOException {
         file.toFile().deleteOnExit();
-        String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream().filter(l -> l.startsWith("run"))
-                .findFirst().orElseThrow();
-        ProcessBuilder b = new ProcessBuilder("/bin/sh", "-c", run.substring(run.indexOf('"') + 1,
-                run.lastIndexOf('"')) + (operator == null ? "" : " --operator " + operator)).redirectErrorStream(true);
+        ProcessBuilder b = new ProcessBuilder("/bin/sh", "-c", run() + (operator == null ? "" : " --operator " + operator))
+                .redirectErrorStream(true);
         b.environment().put("LB_CONFIG", file.toString());
         return b.start();
     }
 
+    /** The deploy file's command. */
+    static String run() throws IOException {
+        String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream().filter(l -> l.startsWith("run"))
+                .findFirst().orElseThrow();
+        return run.substring(run.indexOf('"') + 1, run.lastIndexOf('"'));
+    }
+
     static String settings(String limits) {
         return "{\"classes\":[{\"name\":\"ficha\",\"effect\":\"retryable\",\"group\":\"all\",\"onTimeMs\":300,"
                 + "\"deadlineMs\":5000,\"points\":1},{\"name\":\"guardar\",\"effect\":\"dedup\",\"group\":\"all\","
