Empty queues of suspect peers no longer count as room at admission

From the 4th to the 14th second nobody rejected anything (0 to 30 of 400 requests a second), while jobs waited 0.4 to 2.6 s. The beliefs were right: expected wait 1570 ms, real 1479 ms; 12.4 tries out by belief and 12.4 in truth. But 7 of 60 peers answered most jobs with an error at once. They stand empty, so they passed for room in `hopeless` and `strained`, and `pick` never goes there, since a suspect costs 1e12: all went to queues of 2 s and were late. At second 15 they healed, and rejecting began at once.

Ruled out: wrong waits (above), slots (5.5 learned, speeds right within 10%), lost datagrams (words cover the siblings' tries), the list (it never changed).

Change: a suspect peer is no room in both places, unless all are suspect.

--- a/src/main/java/granitefold/Decide.java
+++ b/src/main/java/granitefold/Decide.java
@@ -310,7 +310,7 @@
         int full = 0, deep = 0;
         for (Node n : reach) {
             full += n.fullUntil > now ? 1 : 0;
-            deep += n.wait > STRAIN_WAITS * tightest ? 1 : 0;
+            deep += n.wait > STRAIN_WAITS * tightest || suspect(n, now) ? 1 : 0;
         }
         return full * 2 > reach.size() || deep == reach.size();
     }
@@ -330,8 +330,10 @@
                 wait = Math.min(wait, Math.max(tightest, HOPELESS_WAITS * slack[c]));
             }
         }
+        // suspect workers draw nothing: their short queues are no room, unless all are suspect
+        boolean any = reach.stream().anyMatch(n -> !suspect(n, now));
         for (Node n : reach) {
-            if (n.wait <= wait && n.wait + run(n, job, now) <= allowed) {
+            if (!(any && suspect(n, now)) && n.wait <= wait && n.wait + run(n, job, now) <= allowed) {
                 return false;
             }
         }
--- a/src/test/java/granitefold/DecideTest.java
+++ b/src/test/java/granitefold/DecideTest.java
@@ -93,6 +93,16 @@
         assertEquals(1, b.count("refuse"));
     }
 
+    /** One worker that errs at once stands empty: it seemed to be room for all, while none went there and all were late. */
+    @Test
+    void anErringWorkersEmptyQueueIsNoRoom() {
+        Bench b = new Bench(1, false).list(ListNews.WHOLE, Bench.worker(10, 0, 0), Bench.worker(11, 0, 0));
+        long id = b.request(Bench.SAFE, 0, 8_000, 30_000);
+        b.end(id, 0, Outcome.ERROR);
+        b.request(Bench.SAFE, 1, 10, 9_900);
+        assertEquals(1, b.count("refuse"), "the other one is busy for 8 s");
+    }
+
     @Test
     void refusingOrErringWorkersArePassedOverUnlessAllAre() {
         for (Outcome why : List.of(Outcome.FULL, Outcome.UNREACHABLE, Outcome.ERROR)) {
