Cold peers whose budget is spent no longer count as room at admission

From the moment that new peers are listed (second 7) nobody is strained (1 to 30 of 450 requests a second, 160 before) though jobs wait 1.1 to 2.3 s. The new peers stand idle behind their cold budget: `survey` took them into reach by `owns`, `pick` then could not use them (`coldAllows`), and the job went to a warm queue, late. Half of the sends then went outside the subset.

Checked: beliefs of waits at warm peers are right before second 7; budgets were kept (no peer fell over); the list came in time.

Change: a cold peer is in reach only while the job fits its budget.

--- a/src/main/java/granitefold/Decide.java
+++ b/src/main/java/granitefold/Decide.java
@@ -278,12 +278,15 @@
         return (long) Math.min(set.limits().maxRetryAfterUs(), Math.max(1, s) * 1e6);
     }
 
-    /** Estimates the wait for a job on each worker in reach, once for strain, hope and pick. */
+    /**
+     * Estimates the wait for a job on each worker in reach, once for strain, hope and pick. A cold one whose
+     * budget is spent is not in reach: it stands idle, and would pass for room that nobody may use.
+     */
     private void survey(Job job, long now) {
         reach.clear();
         double sum = 0;
         for (Node n : near) {
-            if (takes(n, job) && (n.mine || isCold(n, now) && owns(n, now))) {
+            if ((n.mine || isCold(n, now)) && takes(n, job) && coldAllows(job, n, now)) {
                 n.wait = waitOn(n, job.slots, now);
                 sum += n.wait;
                 reach.add(n);
@@ -298,7 +301,7 @@
     /** Brings the workers outside our subset into reach. */
     private void spill(Job job, long now) {
         for (Node n : nodes.values()) {
-            if (takes(n, job) && !reach.contains(n)) {
+            if (takes(n, job) && coldAllows(job, n, now) && !reach.contains(n)) {
                 n.wait = waitOn(n, job.slots, now) + OUTSIDE_WAIT * meanWait;
                 reach.add(n);
             }
@@ -337,7 +340,7 @@
                 return false;
             }
         }
-        return true;
+        return !reach.isEmpty();
     }
 
     /** Time in which a job must be done to be of use: the client's, or its aim's with some room for error. */
--- a/src/test/java/granitefold/DecideTest.java
+++ b/src/test/java/granitefold/DecideTest.java
@@ -103,6 +103,24 @@
         assertEquals(1, b.count("refuse"), "the other one is busy for 8 s");
     }
 
+    /** A new worker whose cold budget is spent stands idle: it seemed to be room for all, and all were late. */
+    @Test
+    void aColdWorkerWithoutBudgetIsNoRoom() {
+        Bench b = new Bench(1, false);
+        b.list(ListNews.WHOLE, Bench.worker(10, 0, 0));
+        while (b.count("refuse") == 0) {
+            b.request(Bench.SAFE, 1, 100, 9_000);
+        }
+        b.list(ListNews.CHANGES, new Dispatcher.Worker(11, 1, Dispatcher.State.READY, b.now, 0, 0, 0));
+        int sent = 0;
+        for (; b.count("refuse") == 1 && sent < 20; sent++) {
+            b.request(Bench.SAFE, 0, 100, 9_000);
+            b.end(b.sentTo.size() + 1, 0, Outcome.SERVED);
+        }
+        assertEquals(2, b.sentTo.stream().filter(w -> w == 11).count(), "its budget is for two");
+        assertEquals(3, sent, "the next is told at once, not sent behind the queue of the other");
+    }
+
     @Test
     void refusingOrErringWorkersArePassedOverUnlessAllAre() {
         for (Outcome why : List.of(Outcome.FULL, Outcome.UNREACHABLE, Outcome.ERROR)) {
