Every dispatcher tells all its siblings, up to 16, of its work at peers

At a send 10 tries were out at the picked peer, the sender knew of 5.6 (its own 2.0 and siblings' 3.6); jobs waited 1.4 s where 0.8 s were expected. Up to 250 of 390 sends a second went to peers outside the sender's subset (35 of 60, each shared by 8): it hears nothing of those, so all spill to them at once. SHARERS = 8 and the word apiece in `tell` are to blame.

Ruled out: bytes (352 a request were never used up by 7 sharers), loss, own tries (right), speeds (right within 10% before the release).

Change: up to 16 dispatchers share all peers. So that this does not double the bytes, words are gathered in `Words`, a class of its own: a send is told at once, room that came free goes along with it or with the next round.

--- a/src/main/java/granitefold/Decide.java
+++ b/src/main/java/granitefold/Decide.java
@@ -34,12 +34,12 @@
     static final double HOPELESS_WAITS = 1.25;
     /** Gossip: the paper's interval. */
     static final long GOSSIP_US = 100_000;
-    /** Gossip: bytes a request earns for words on work and for relayed buckets, and the most saved up. */
-    static final double BYTES_WORDS = 352, BYTES_RELAY = 32, BYTES_SAVED = 5_000;
+    /** Gossip: bytes a request earns for relayed buckets, and the most saved up. */
+    static final double BYTES_RELAY = 32, BYTES_SAVED = 5_000;
     /** A word on a peer's work counts for so many times the time it takes to do, and so much longer. */
     static final double WORD_TIMES = 3, WORD_US = 1_000_000;
-    /** Subset: dispatchers that share a worker, and workers that each prefers at the least. */
-    static final double SHARERS = 8, SUBSET_LEAST = 6;
+    /** Subset: dispatchers that share a worker (in most fleets all), and workers of each at the least. */
+    static final double SHARERS = 16, SUBSET_LEAST = 6;
     /** Of the mean wait in the subset, what a worker outside it is taken to have. */
     static final double OUTSIDE_WAIT = 0.5;
     /** A held request is looked at again after this long. */
@@ -103,8 +103,8 @@
     final List<Node> reach = new ArrayList<>();
     private double meanWait;
     private long gossipAt;
+    private final Words words = new Words();
     private boolean freeTold;
-    private double bytesWords = BYTES_SAVED / 4;
     private double bytesRelay;
     private double fetchTime = FETCH_US, kept = KEPT;
     private long askPause = ASK_FIRST_US;
@@ -143,7 +143,7 @@
         if (b != null) {
             b.use(set.me(), 1);
         }
-        bytesWords = Math.min(BYTES_SAVED, bytesWords + BYTES_WORDS);
+        words.earn();
         bytesRelay = Math.min(BYTES_SAVED, bytesRelay + BYTES_RELAY);
         gossipSoon(now);
         jobs.put(r.id(), job);
@@ -767,6 +767,7 @@
             rescue(now);
         }
         gossipAt = 0;
+        words.tell(set.me(), -1, null, random, out);
         for (Node n : nodes.values()) {
             if (n.told && now > n.toldUntil) {
                 tell(n, -1, now);
@@ -801,8 +802,8 @@
     }
 
     /**
-     * Tells those who share a worker what work of ours is there, with our use of the tenant's bucket, as far
-     * as the bytes earned allow. Not relayed: it is soon out of date.
+     * Tells those who share a worker what work of ours is there; for a send (of this tenant) at once, with
+     * our use of its bucket. Not relayed: it is soon out of date.
      */
     private void tell(Node n, int tenant, long now) {
         int held = n.held();
@@ -810,25 +811,12 @@
         double work = n.out.stream().mapToDouble(a -> left(a, speed, now) * speed * a.job.slots).sum();
         n.told = held > 0;
         n.toldUntil = now + (held > 0 ? life(work / held / speed, n.wait) : 0);
-        int peers = set.limits().peers() ? n.sharers.size() : 0;
-        if (peers == 0) {
-            return;
+        if (set.limits().peers() && !n.sharers.isEmpty()) {
+            words.due(n, work);
+            gossipSoon(now);
         }
-        byte[] m = PeerMessage.begin();
-        int at = PeerMessage.MAGIC.length;
         Bucket b = bucket(tenant, now);
-        if (b != null) {
-            at = PeerMessage.putUse(m, at, tenant, set.me(), b.used[set.me()], b.credited);
-        }
-        at = PeerMessage.putWork(m, at, n.id, work, held);
-        byte[] body = PeerMessage.end(m, at);
-        int first = random.nextInt(peers);
-        int k = 0;
-        for (; k < peers && bytesWords >= body.length; k++) {
-            out.tell(n.sharers.get((first + k) % peers), body);
-            bytesWords -= body.length;
-        }
-        if (b != null && k == siblings - 1) {
+        if (tenant >= 0 && words.tell(set.me(), tenant, b, random, out) == siblings - 1 && b != null) {
             b.dirty[set.me()] = false;
         }
     }
--- a/src/main/java/granitefold/Node.java
+++ b/src/main/java/granitefold/Node.java
@@ -42,6 +42,7 @@
     /** Whether peers were told of work of ours there, and until when that counts; peers' words on theirs. */
     boolean told;
     long toldUntil;
+    double toldWork;
     final List<Word> words = new ArrayList<>(4);
 
     /** Our subset holds it; the other dispatchers whose subset does; our place among its owners. */
