At first a peer is taken to have the slots that the tenants' quotas need of it

Seen: traces of all dispatchers.

Ruled out: speeds (learned from some 10 jobs), words (they arrive).

Change: until some 20 jobs of a kind were seen, `slotsOf` is at least the peer's part, by size, of quota times mean work: what the fleet must have to do what was promised. It fades with the jobs seen and with few hints.

--- a/src/main/java/granitefold/Decide.java
+++ b/src/main/java/granitefold/Decide.java
@@ -58,6 +58,8 @@
     static final double NODE_MEMORY = 0.95, KIND_MEMORY = 0.99;
     /** A worker's speed leans on its kind's, and that on 1, with the weight of this many jobs. */
     static final double SPEED_PRIOR = 5;
+    /** So many hints make what quotas tell of slots count, so many jobs of a kind make it count half. */
+    static final double SLOTS_PRIOR = 20;
     /** Notes and answers of one worker overtake each other by less than this. */
     static final long NOTE_US = 30_000;
     /** Estimates are off, and others pick at the same moment: costs are drawn up to this share higher. */
@@ -431,8 +433,20 @@
         return job.key == 0 || n.keysSince(job.key) < kept ? 0 : fetchTime;
     }
 
+    /**
+     * Slots seen there or on its kind, and at first what the fleet needs there to do what its quotas promise:
+     * a dispatcher of many has few jobs on one worker, and sees its slots late.
+     */
     private int slotsOf(Node n) {
-        return Math.max(Math.max(1, n.slots), kindSlots.getOrDefault(n.kind, 1));
+        Speed kind = kinds.get(n.kind);
+        double needed = promised(n) * meanWork / 1e6 * worksSeen / (worksSeen + SLOTS_PRIOR)
+                * SLOTS_PRIOR / (SLOTS_PRIOR + (kind == null ? 0 : kind.weight()));
+        return Math.max(Math.max(n.slots, (int) needed), kindSlots.getOrDefault(n.kind, 1));
+    }
+
+    /** Jobs a second that are a worker's part, by its size, of what quotas promise; 0 where none are told. */
+    private double promised(Node n) {
+        return fleetRate > 0 && mostSize > 0 ? fleetRate * n.size / mostSize : 0;
     }
 
     private void slots(Node n, int seen) {
@@ -664,7 +678,7 @@
      * promise, so a worker's part by size errs to the low side; without quotas it counts as one core.
      */
     private double coldJobs(Node n, long now) {
-        double perS = fleetRate > 0 && mostSize > 0 ? fleetRate * n.size / mostSize : 1e6 / meanWork;
+        double perS = promised(n) > 0 ? promised(n) : 1e6 / meanWork;
         return COLD_SAFETY * set.rules().fallMultiple() * set.rules().fallUs() / 1e6 * perS * warmth(n, now);
     }
 
