--- a/src/main/java/granitefold/Decide.java
+++ b/src/main/java/granitefold/Decide.java
@@ -60,6 +60,8 @@
     static final double SPEED_PRIOR = 5;
     /** So many hints make what quotas tell of slots count, so many jobs of a kind make it count half. */
     static final double SLOTS_PRIOR = 20;
+    /** Most slots taken on the word of quotas, which may be absurd: each costs time in every estimate. */
+    static final int SLOTS_PROMISED = 64;
     /** Notes and answers of one worker overtake each other by less than this. */
     static final long NOTE_US = 30_000;
     /** Estimates are off, and others pick at the same moment: costs are drawn up to this share higher. */
@@ -441,7 +443,8 @@
         Speed kind = kinds.get(n.kind);
         double needed = promised(n) * meanWork / 1e6 * worksSeen / (worksSeen + SLOTS_PRIOR)
                 * SLOTS_PRIOR / (SLOTS_PRIOR + (kind == null ? 0 : kind.weight()));
-        return Math.max(Math.max(n.slots, (int) needed), kindSlots.getOrDefault(n.kind, 1));
+        return Math.max(Math.max(n.slots, (int) Math.min(SLOTS_PROMISED, needed)),
+                kindSlots.getOrDefault(n.kind, 1));
     }
 
     /** Jobs a second that are a worker's part, by its size, of what quotas promise; 0 where none are told. */
--- a/src/test/java/granitefold/DecideTest.java
+++ b/src/test/java/granitefold/DecideTest.java
@@ -138,6 +138,16 @@
         assertEquals(0, b.count("refuse"), "10 jobs of 1 s a second need 5 slots on each, of which 3 are counted on");
     }
 
+    @Test
+    void absurdQuotasMakeNoAbsurdSlots() {
+        Bench b = new Bench(1, false).list(ListNews.WHOLE, Bench.worker(10, 0, 0));
+        for (int i = 0; i < 300; i++) {
+            b.request(Bench.SAFE, i % 2, 600_000, 3_000_000);
+        }
+        // 10 jobs of 600 s a second would need 6000 slots; what is sent beyond those counted on waits its turn
+        assertTrue(b.count("send") <= 2 * Decide.SLOTS_PROMISED, b.count("send") + " sent");
+    }
+
     @Test
     void refusingOrErringWorkersArePassedOverUnlessAllAre() {
         for (Outcome why : List.of(Outcome.FULL, Outcome.UNREACHABLE, Outcome.ERROR)) {
