--- a/src/test/java/granitefold/DecideTest.java
+++ b/src/test/java/granitefold/DecideTest.java
@@ -106,12 +106,48 @@
         assertEquals(1, b.count("refuse"), "the other one is busy for 8 s");
     }
 
+    /** The same in strain: where no worker but an erring one is free, a tenant past its share is refused. */
+    @Test
+    void anErringWorkerIsNoEndOfStrain() {
+        Bench b = new Bench(1, false).list(ListNews.WHOLE, Bench.worker(10, 0, 0), Bench.worker(11, 0, 0));
+        for (int i = 0; i < 30; i++) {
+            b.end(b.request(Bench.SAFE, 0, 1, 9_000), 0, Outcome.SERVED);
+        }
+        b.end(b.request(Bench.SAFE, 1, 600, 9_000), 0, Outcome.ERROR);
+        b.request(Bench.SAFE, 0, 10, 9_000);
+        assertEquals(1, b.count("refuse"), "its bucket is empty, and the healthy worker is busy for 0.6 s");
+    }
+
+    @Test
+    void whereAllAreSuspectAWorkerIsTakenAllTheSame() {
+        Bench b = new Bench(1, false).list(ListNews.WHOLE, Bench.worker(10, 0, 0));
+        b.end(b.request(Bench.SAFE, 0, 10, 9_000), 0, Outcome.FULL);
+        b.request(Bench.SAFE, 1, 10, 9_000);
+        assertEquals(0, b.count("refuse"));
+        assertEquals(3, b.count("send"));
+    }
+
+    /** With none but cold workers whose budget is spent, a request waits for it while that is of use. */
+    @Test
+    void anAllColdFleetHoldsWhatItsBudgetDoesNotReachFor() {
+        Bench b = new Bench(1, false);
+        b.list(ListNews.WHOLE, new Dispatcher.Worker(11, 1, Dispatcher.State.READY, b.now, 0, 0, 0));
+        for (int i = 0; i < 20 && b.count("send") == i; i++) {
+            b.end(b.request(Bench.SAFE, i % 2, 100, 9_000), 0, Outcome.SERVED);
+        }
+        long sent = b.count("send");
+        assertTrue(sent > 0);
+        assertEquals(0, b.count("refuse"), "held");
+        b.pass(2_000);
+        assertEquals(sent + 1, b.count("send"), "it goes as the worker warms");
+    }
+
     /** A new worker whose cold budget is spent stands idle: it seemed to be room for all, and all were late. */
     @Test
     void aColdWorkerWithoutBudgetIsNoRoom() {
         Bench b = new Bench(1, false);
         b.list(ListNews.WHOLE, Bench.worker(10, 0, 0));
-        while (b.count("refuse") == 0) {
+        for (int i = 0; i < 200 && b.count("refuse") == 0; i++) {
             b.request(Bench.SAFE, 1, 100, 9_000);
         }
         b.list(ListNews.CHANGES, new Dispatcher.Worker(11, 1, Dispatcher.State.READY, b.now, 0, 0, 0));
