Lists that are empty or older than the last no longer replace it

Need: an agent that lost its list took all peers away until the next one, and one that lags (lists come late, SIGHUP moves discovery) listed as up again what had been told to drain, which breaks the drain rule. To blame: Reducer.handle took every WatchNews on, Watch.heard set any version. Now Watch refuses both, with one log line for the change of state, and after 6 s (PROTOCOL: what discovery tells counts as told by then) of nothing newer asks for all from index 0. Two tests of the reducer fail without it.

--- a/src/main/java/granitefold/core/Reducer.java
+++ b/src/main/java/granitefold/core/Reducer.java
@@ -184,9 +184,9 @@
         } else if (event instanceof Event.PeerClosed e) {
             peerClosed(pool.get(e.connection()));
         } else if (event instanceof Event.WatchNews e) {
-            watch.heard(e.list(), now);
-            attendance.heard(e.list() != null, now);
-            if (e.list() != null) {
+            boolean news = watch.heard(e.list(), !peers.isEmpty(), now);
+            attendance.heard(news, now);
+            if (news) {
                 listed(e.list().whole() ? ListNews.WHOLE : ListNews.CHANGES, e.list());
             }
             serve();
--- a/src/main/java/granitefold/core/Watch.java
+++ b/src/main/java/granitefold/core/Watch.java
@@ -10,12 +10,21 @@
     /** The first and the longest pause before a watch is opened again. */
     private static final long PAUSE_FIRST_US = 50_000, PAUSE_MOST_US = 1_000_000;
 
+    /**
+     * Whatever discovery has to tell counts as told within this time. An agent that for so long has told nothing but
+     * lists of an older index does not lag behind: discovery has begun anew, and counts from there.
+     */
+    private static final long BEHIND_US = 6_000_000;
+
     private final Timers timers;
     private final List<Effect> effects;
     private String address;
     private long version;
     private long heardAt;
     private long pause = PAUSE_FIRST_US;
+    /** Why the last list was not taken in, null if it was; since when all were older than ours, or 0. */
+    private String refused;
+    private long behindSince;
     /** Counts the watches opened and ended, so that a timer for an earlier one is known. */
     private int opened;
 
@@ -37,12 +46,44 @@
         checkLater(opened);
     }
 
-    void heard(PeerList list, long now) {
+    /** A word has come, without news where {@code list} is null; tells whether the list is to be taken in. */
+    boolean heard(PeerList list, boolean peersKnown, long now) {
         heardAt = now;
         pause = PAUSE_FIRST_US;
-        if (list != null) {
-            version = list.version();
+        boolean older = list != null && list.version() < version;
+        if (behindSince != 0 && now - behindSince >= BEHIND_US && (list == null || older)) {
+            // from its first list on
+            behindSince = 0;
+            version = 0;
+            effects.add(new Effect.CloseWatch());
+            open(now);
+            return false;
+        }
+        if (list == null) {
+            return false;
+        }
+        if (list.whole() && list.entries().isEmpty() && peersKnown) {
+            // nobody runs a fleet of none: what lost its own list, or has not read it yet, says this
+            return refuse("empty");
+        }
+        if (older) {
+            // an agent that lags behind, or one moved to: what it says of drains and ends is out of date
+            behindSince = behindSince == 0 ? now : behindSince;
+            return refuse("older than " + version);
+        }
+        behindSince = 0;
+        refused = null;
+        version = list.version();
+        return true;
+    }
+
+    /** Logs the change of state, not each list. */
+    private boolean refuse(String why) {
+        if (!why.equals(refused)) {
+            refused = why;
+            effects.add(new Effect.Log(LogEvent.DISCOVERY_REFUSED, why));
         }
+        return false;
     }
 
     /** Leaves the watch on the old address, which may be about to end, for one on the new, at once. */
--- a/src/main/java/granitefold/logging/LogEvent.java
+++ b/src/main/java/granitefold/logging/LogEvent.java
@@ -10,6 +10,7 @@
     LISTENING("listening", Level.INFO, "listening on {}", "address"),
     PHASE("phase", Level.INFO, "phase: {}", "phase"),
     DISCOVERY_LIST("discovery.list", Level.INFO, "discovery: list {} {}, {} peers up", "version", "news", "up"),
+    DISCOVERY_REFUSED("discovery.refused", Level.WARN, "discovery: list not taken in, the last one stands: {}", "reason"),
     DISCOVERY_ENDED("discovery.ended", Level.INFO, "discovery: watch ended: {}", "reason"),
     CONFIGURATION_READ("configuration.read", Level.INFO, "configuration: read anew, discovery at {}", "discovery"),
     CONFIGURATION_KEPT("configuration.kept", Level.WARN, "configuration: kept as it was: {}", "reason"),
--- a/src/test/java/granitefold/core/ReducerTest.java
+++ b/src/test/java/granitefold/core/ReducerTest.java
@@ -12,6 +12,7 @@
 import granitefold.Dispatcher.Rules;
 import granitefold.Dispatcher.Settings;
 import granitefold.Dispatcher.State;
+import granitefold.logging.LogEvent;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -128,6 +129,51 @@
         assertTrue(handsOverEarly(true));
     }
 
+    private long up(long version, boolean whole, State... states) {
+        List<PeerList.Entry> entries = new ArrayList<>();
+        for (int i = 0; i < states.length; i++) {
+            entries.add(new PeerList.Entry("p" + i, "127.0.0.1:1", states[i], 1, 0, 0, 0, 0));
+        }
+        play(new Event.WatchNews(new PeerList(version, whole, entries)));
+        List<Effect.Log> lists = all(Effect.Log.class).stream().filter(l -> l.event() == LogEvent.DISCOVERY_LIST).toList();
+        return (Long) lists.get(lists.size() - 1).values()[2];
+    }
+
+    private long refused() {
+        return all(Effect.Log.class).stream().filter(l -> l.event() == LogEvent.DISCOVERY_REFUSED).count();
+    }
+
+    /** An agent that has lost its list took all peers away until the next one came. */
+    @Test
+    void anEmptyWholeListTakesNoPeersAway() {
+        play(new Event.Opened(new PeerList(0, true, List.of()), "127.0.0.1:2"));
+        assertEquals(2, up(3, true, State.READY, State.READY));
+        assertEquals(2, up(4, true));
+        assertEquals(2, up(5, true));
+        assertEquals(1, refused(), "one line for the change of state");
+        assertEquals(1, up(6, true, State.READY), "others go on as ever");
+        assertEquals(1, up(7, false), "a change may hold nothing");
+    }
+
+    /** An agent that lags behind brought back as ready what had been told to drain. */
+    @Test
+    void anOlderListBringsBackNoPeerToldToDrain() {
+        play(new Event.Opened(new PeerList(0, true, List.of()), "127.0.0.1:2"));
+        up(8, true, State.READY, State.DRAINING);
+        play(new Event.DiscoveryMoved("127.0.0.1:3"));
+        assertEquals(1, up(7, true, State.READY, State.READY));
+        assertEquals(1, up(7, false, State.READY, State.READY));
+        assertEquals(1, refused());
+        assertEquals(1, up(8, true, State.READY, State.DRAINING));
+        // but one that for as long as news may take has nothing newer has begun anew, and is asked for all it has
+        assertEquals(1, up(2, true, State.READY, State.READY));
+        now += 6 * SECOND;
+        play(new Event.WatchNews(null));
+        List<Effect.OpenWatch> opened = all(Effect.OpenWatch.class);
+        assertEquals(0, opened.get(opened.size() - 1).version());
+        assertEquals(2, up(2, true, State.READY, State.READY));
+    }
+
     /** Connects take time, and the list may change meanwhile. */
     @Test
     void aPeerToldToDrainWhileItsConnectionCameUpGetsNothing() {
