--- a/src/main/java/granitefold/Attempt.java
+++ b/src/main/java/granitefold/Attempt.java
@@ -12,6 +12,8 @@
     final double fetch;
     /** When it was expected to start. */
     final long startsAt;
+    /** The wait by what was known of the worker's jobs. */
+    final double counted;
     /** Last sign of it, its send included, and when the next one is overdue. */
     long touchedAt;
     long dueAt;
@@ -27,5 +29,6 @@
         this.fetch = fetch;
         keysSince = node.keysSince(job.key);
         startsAt = sentAt + (long) wait;
+        counted = node.counted;
     }
 }
--- a/src/main/java/granitefold/Decide.java
+++ b/src/main/java/granitefold/Decide.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.stream.DoubleStream;
 import java.util.stream.IntStream;
 import java.util.stream.LongStream;
 
@@ -40,8 +41,8 @@
     static final double WORD_TIMES = 3, WORD_US = 1_000_000;
     /** Subset: dispatchers that share a worker (in most fleets all), and workers of each at the least. */
     static final double SHARERS = 16, SUBSET_LEAST = 6;
-    /** Of the mean wait in the subset, what a worker outside it is taken to have. */
-    static final double OUTSIDE_WAIT = 0.5;
+    /** What a job's start moves the error of expected waits by. */
+    static final double DRIFT_NEW = 0.2;
     /** A held request is looked at again after this long. */
     static final long HOLD_US = 40_000;
     /** The last this much of a client's time is kept for the final answer, besides two ticks. */
@@ -58,7 +59,7 @@
     static final double NODE_MEMORY = 0.95, KIND_MEMORY = 0.99;
     /** A worker's speed leans on its kind's, and that on 1, with the weight of this many jobs. */
     static final double SPEED_PRIOR = 5;
-    /** So many hints make what quotas tell of slots count, so many jobs of a kind make it count half. */
+    /** So many hints make what quotas tell of slots count, and so many jobs of a kind make it count half. */
     static final double SLOTS_PRIOR = 20;
     /** Most slots taken on the word of quotas, which may be absurd: each costs time in every estimate. */
     static final int SLOTS_PROMISED = 64;
@@ -75,10 +76,10 @@
     /** Share of its hint that a job which overran it is taken to have before it still. */
     static final double OVERRUN = 0.5;
 
-    /** A fetch's time and the keys that a worker keeps, as first taken; what one job moves them by. */
-    static final double FETCH_US = 300_000, FETCH_NEW = 0.03, KEPT = 6, KEPT_STEP = 0.1;
-    /** A fetch takes room from other keys and time from other fetches: what it costs beside its own time. */
-    static final double FETCH_MORE = 1;
+    /** A fetch's time and the keys that a worker keeps, as first taken. */
+    static final double FETCH_US = 300_000, KEPT = 6;
+    /** What one job moves them by; a fetch's time more, up to a bound, where others see most fetches. */
+    static final double FETCH_NEW = 0.03, FETCH_MOST = 0.1, KEPT_STEP = 0.1;
 
     // ---------------------------------------------------------------- STATE
     private static final long TIMER_GOSSIP = 1, TIMER_ASK = 2, TIMER_JOB = 3;
@@ -111,6 +112,8 @@
     private boolean freeTold;
     private double bytesRelay;
     private double fetchTime = FETCH_US, kept = KEPT;
+    private double drift;
+    private long driftAt;
     private long askPause = ASK_FIRST_US;
 
     /** A fresh instance, which knows nothing yet; the seed is its only source of chance. */
@@ -161,6 +164,8 @@
             a.startedAt = Math.max(1, now);
             a.node.heardAt = now;
             expect(a, nextSign(a, now), now);
+            drift = drift(now) + DRIFT_NEW * (late(a, now) - drift(now));
+            driftAt = now;
             if (!freeTold) {
                 slots(a.node, a.node.running(now - NOTE_US));
             }
@@ -283,15 +288,20 @@
     }
 
     /**
-     * Estimates the wait for a job on each worker in reach, once for strain, hope and pick. A cold one whose
-     * budget is spent is not in reach: it stands idle, and would pass for room that nobody may use.
+     * Estimates the wait for a job on each worker in reach, for strain, hope and pick: by what is counted
+     * there, and how late our own jobs start for what siblings, cut off or too many, did not tell us. A cold
+     * one whose budget is spent is not in reach: it stands idle, and would pass for room that nobody may use.
      */
     private void survey(Job job, long now) {
         reach.clear();
         double sum = 0;
+        double drift = Math.max(drift(now), near.stream().flatMap(n -> n.out.stream())
+                .mapToDouble(a -> late(a, now)).average().orElse(0));
         for (Node n : near) {
             if ((n.mine || isCold(n, now)) && takes(n, job) && coldAllows(job, n, now)) {
-                n.wait = waitOn(n, job.slots, now);
+                n.counted = waitOn(n, job.slots, now);
+                n.wait = n.counted + (n.sharers.isEmpty() ? 0
+                        : Math.max(drift, n.out.stream().mapToDouble(a -> late(a, now)).max().orElse(0)));
                 sum += n.wait;
                 reach.add(n);
             }
@@ -302,11 +312,12 @@
         }
     }
 
-    /** Brings the workers outside our subset into reach. */
+    /** Brings the workers outside our subset into reach; nobody tells of them: its mean stands for them. */
     private void spill(Job job, long now) {
         for (Node n : nodes.values()) {
             if (takes(n, job) && coldAllows(job, n, now) && !reach.contains(n)) {
-                n.wait = waitOn(n, job.slots, now) + OUTSIDE_WAIT * meanWait;
+                n.wait = waitOn(n, job.slots, now) + meanWait;
+                n.counted = n.wait - drift(now);
                 reach.add(n);
             }
         }
@@ -325,26 +336,17 @@
     /**
      * No fitting worker is expected to be done in time: before the client gives up, and by the class's aim
      * with some room for error. Late work, and above all work that nobody waits for, keeps an overload going
-     * after its cause is over. Nor may the wait pass what a mean job of a worthier class bears: in one queue
-     * roomy jobs of little worth make tight worthy ones late. Harm: a job refused on a wait misjudged.
+     * after its cause is over. Nor may a wait pass what a mean job of any class bears: a queue that keeps the
+     * slots busy is long enough, a longer one makes tight jobs late. Harm: a job refused on a wait misjudged.
      */
     private boolean hopeless(Job job, long now) {
-        JobClass type = job.type(set);
         double allowed = allowed(job, now);
-        double wait = allowed;
-        for (int c = 0; c < slack.length; c++) {
-            if (set.classes().get(c).worth() > type.worth()) {
-                wait = Math.min(wait, Math.max(tightest, HOPELESS_WAITS * slack[c]));
-            }
-        }
+        double most = Math.min(allowed, Math.max(tightest, HOPELESS_WAITS
+                * DoubleStream.of(slack).min().orElse(allowed)));
         // suspect workers draw nothing: their short queues are no room, unless all are suspect
         boolean any = reach.stream().anyMatch(n -> !suspect(n, now));
-        for (Node n : reach) {
-            if (!(any && suspect(n, now)) && n.wait <= wait && n.wait + run(n, job, now) <= allowed) {
-                return false;
-            }
-        }
-        return !reach.isEmpty();
+        return !reach.isEmpty() && reach.stream().noneMatch(n -> !(any && suspect(n, now)) && n.wait <= most
+                && n.wait + run(n, job, now) <= allowed);
     }
 
     /** Time in which a job must be done to be of use: the client's, or its aim's with some room for error. */
@@ -390,19 +392,19 @@
 
     /**
      * The worker with the least hinted work of those the send gate lets through; lately full ones last, and
-     * those outside our subset only where none within it is free of refusals with a bearable wait.
+     * those outside our subset, of whose work nobody tells us, only where none within it is free of refusals.
      */
     private Node pick(Job job, long now) {
-        if (reach.stream().noneMatch(n -> n.wait <= STRAIN_WAITS * tightest && !suspect(n, now)
-                && maySend(job, n, now))) {
+        if (reach.stream().noneMatch(n -> !suspect(n, now) && maySend(job, n, now))) {
             spill(job, now);
         }
         Node best = null;
         double least = Double.MAX_VALUE;
         for (Node n : reach) {
             double home = (Node.mix(n.id, job.key) >>> 11) * 0x1p-53;
+            // a fetch takes room from other keys and time from other fetches: it costs more than its own time
             double cost = (n.wait + run(n, job, now)) * (1 + SPREAD * random.nextDouble()) + extras(n)
-                    + (suspect(n, now) ? SUSPECT_US : 0) + FETCH_MORE * fetch(n, job) * (1 + home);
+                    + (suspect(n, now) ? SUSPECT_US : 0) + fetch(n, job) * (1 + home);
             if (cost < least && maySend(job, n, now)) {
                 best = n;
                 least = cost;
@@ -413,9 +415,8 @@
 
     /** What a send costs beside the worker's time: a crossing of zones, a connection to be opened. */
     private double extras(Node n) {
-        Prices prices = set.prices();
-        return (n.zone == set.zone() ? 0 : CROSSING_US + PRICE_US * prices.crossing())
-                + (n.out.size() < n.connections ? 0 : PRICE_US * prices.handshake());
+        return (n.zone == set.zone() ? 0 : CROSSING_US + PRICE_US * set.prices().crossing())
+                + (n.out.size() < n.connections ? 0 : PRICE_US * set.prices().handshake());
     }
 
     // ---------------------------------------------------------------- WAIT
@@ -437,13 +438,14 @@
 
     /**
      * Slots seen there or on its kind, and at first what the fleet needs there to do what its quotas promise:
-     * a dispatcher of many has few jobs on one worker, and sees its slots late.
+     * of hints, and of jobs that run together and so show slots, one of many users has that much fewer.
      */
     private int slotsOf(Node n) {
         Speed kind = kinds.get(n.kind);
-        double needed = promised(n) * meanWork / 1e6 * worksSeen / (worksSeen + SLOTS_PRIOR)
-                * SLOTS_PRIOR / (SLOTS_PRIOR + (kind == null ? 0 : kind.weight()));
-        return Math.max(Math.max(n.slots, (int) Math.min(SLOTS_PROMISED, needed)),
+        int users = 1 + n.sharers.size();
+        double needed = promised(n) * meanWork / 1e6 * worksSeen / (worksSeen + SLOTS_PRIOR / users)
+                / (1 + (kind == null ? 0 : kind.weight()) / SLOTS_PRIOR / users);
+        return Math.max(Math.max(n.slots, (int) Math.ceil(Math.min(SLOTS_PROMISED, needed))),
                 kindSlots.getOrDefault(n.kind, 1));
     }
 
@@ -472,12 +474,8 @@
                 lanes.lay(a.job.slots, left(a, speed, now));
             }
         }
-        for (int i = 0; i < n.words.size(); i++) {
-            Node.Word w = n.words.get(i);
-            if (w.until() < now) {
-                n.words.remove(i--);
-                continue;
-            }
+        n.words.removeIf(w -> w.until() < now);
+        for (Node.Word w : n.words) {
             double each = Math.max(w.each() - Math.max(0, now - w.startsAt()), OVERRUN * w.each());
             for (int k = w.jobs(); k > 0; k--) {
                 lanes.lay(1, each);
@@ -491,6 +489,17 @@
         return lanes.free(slots);
     }
 
+    /** How much longer than counted jobs lately waited; fades after a word's time, so that somebody tries. */
+    private double drift(long now) {
+        return drift * Math.pow(0.5, Math.max(0, now - driftAt - WORD_US) / WORD_US);
+    }
+
+    /** How much longer than counted a job of ours waited, or waits already. */
+    private static double late(Attempt a, long now) {
+        double due = a.sentAt + a.counted;
+        return (a.startedAt != 0 ? a.startedAt : Math.max(now, due)) - due;
+    }
+
     /** When an attempt began to run, as told or, where workers do not tell, as expected; 0 if it waits. */
     private long begun(Attempt a, long now) {
         return a.startedAt != 0 ? a.startedAt : !set.tellsStart() && a.startsAt <= now ? a.startsAt : 0;
@@ -516,7 +525,8 @@
                     n.speed.add(log);
                     kinds.computeIfAbsent(n.kind, k -> new Speed(KIND_MEMORY)).add(log);
                 } else {
-                    fetchTime += FETCH_NEW * (more - fetchTime);
+                    double by = Math.min(FETCH_MOST, FETCH_NEW * (1 + n.sharers.size()));
+                    fetchTime += by * (more - fetchTime);
                 }
                 boolean held = more < fetchTime / 2;
                 if (a.keysSince < Integer.MAX_VALUE && plain < fetchTime && held != (a.keysSince < kept)) {
@@ -690,9 +700,7 @@
         if (!isCold(n, now)) {
             return true;
         }
-        n.coldSends.removeIf(s -> s[0] <= now - set.rules().fallUs());
-        double sent = job.work + n.coldSends.stream().mapToDouble(s -> s[1]).sum();
-        return owns(n, now) && sent <= coldJobs(n, now) * meanWork / owners(n, now);
+        return owns(n, now) && job.work + coldSent(n, now) <= coldJobs(n, now) * meanWork / owners(n, now);
     }
 
     /**
--- a/src/main/java/granitefold/Node.java
+++ b/src/main/java/granitefold/Node.java
@@ -51,7 +51,8 @@
     int rank = -1;
     long order;
 
-    /** The wait there for the job last surveyed. */
+    /** The wait there for the job last surveyed: by what is known of jobs there, and as it is expected. */
+    double counted;
     double wait;
 
     /** A peer's word on its work: jobs, the time each takes, when they start, how long it counts. */
--- a/src/test/java/granitefold/ManyDispatchersTest.java
+++ b/src/test/java/granitefold/ManyDispatchersTest.java
@@ -75,6 +75,69 @@
         }
     }
 
+    /** With 100 dispatchers none sees a worker's slots at once: after some jobs each fell back to one, and rejected all else. */
+    @Test
+    void slotsThatQuotasNeedStandForAsLongAsJobsAreFewEach() {
+        Bench b = fleet(100, WORKERS, false).get(0);
+        for (int i = 0; i < 200; i++) {
+            long id = b.request(Bench.SAFE, i % 2, 30_000, 300_000);
+            b.module.started(b.now, id, 0);
+            b.pass(30_000);
+            b.end(id, 0, Outcome.SERVED);
+        }
+        for (int i = 0; i < 30; i++) {
+            b.request(Bench.SAFE, i % 2, 30_000, 300_000);
+        }
+        assertEquals(230, b.sentTo.size(), "10 jobs of 30 s a second need 5 slots on each of 60");
+    }
+
+    /** Nobody tells us of workers outside the subset: those stood for empty, and one job in five went into their queues. */
+    @Test
+    void aBusySubsetIsNotLeftForWorkersThatNobodyTellsOf() {
+        Bench b = fleet(100, WORKERS, false).get(0);
+        for (int i = 0; i < 20; i++) {
+            // one of them makes a worker wait past the strain's bound, and a second one is not hopeless yet
+            b.request(Bench.UNSAFE, i % 2, 550, 9_000);
+        }
+        assertTrue(b.sentTo.size() > subset(100), "all of it is busy");
+        assertEquals(subset(100), new HashSet<>(b.sentTo).size());
+    }
+
+    /** While siblings are cut off, all took the workers for empty, and queues grew to 4 s; own jobs' waits show them. */
+    @Test
+    void whatSiblingsDoNotTellShowsInHowLateOwnJobsStart() {
+        Bench b = fleet(100, WORKERS, false).get(0);
+        for (int i = 0; i < 3; i++) {
+            b.request(Bench.SAFE, i % 2, 100, 9_000);
+        }
+        b.pass(3_000);
+        long refused = b.count("refuse");
+        b.request(Bench.SAFE, 0, 100, 9_000);
+        assertEquals(refused + 1, b.count("refuse"), "those out wait for 3 s, another would wait as long");
+        for (int i = 0; i < 3; i++) {
+            b.module.started(b.now, 1 + i, 0);
+            b.end(1 + i, 0, Outcome.SERVED);
+        }
+        b.request(Bench.SAFE, 0, 100, 9_000);
+        assertEquals(refused + 2, b.count("refuse"), "nor is it forgotten at once");
+        b.pass(5_000);
+        b.request(Bench.SAFE, 0, 100, 9_000);
+        assertEquals(refused + 2, b.count("refuse"), "somebody has to try");
+    }
+
+    /** A dispatcher of many sees few fetches; it held to a first guess of 0.3 s for ten seconds. */
+    @Test
+    void fetchTimesAreLearnedFromFewJobsWhereOthersShareTheWorkers() {
+        Bench b = fleet(100, WORKERS, false).get(0);
+        for (int i = 0; i < 20; i++) {
+            long id = b.request(Bench.SAFE, i % 2, 100, 9_000, 1 + i);
+            b.module.started(b.now, id, 0);
+            b.pass(100);
+            b.end(id, 0, Outcome.SERVED);
+        }
+        assertTrue(b.module.learned(b.now).fetchUs() < 100_000, "no job of 20 had to fetch");
+    }
+
     @Test
     void subsetThatRefusesIsLeft() {
         Bench b = fleet(140, WORKERS, false).get(0);
