A connect's time is up only once all that had come to the sockets was read

Request 3 of node 0 went through four healthy peers, 130, 135, 120 and 120 ms each. A fresh JVM takes 20 to 40 ms a request, and whatever event comes next lets timers run out (Reducer.reduce), so connects that were up long since were not read yet. Each verdict takes the peer for restarted: cold, out of budget, out of reach. Reach fell from 63 peers to 11, queues there from 0.05 to 1.3 s, and all else was rejected. To blame: the timer in Reducer.send. Now it asks for a look (Effect.Look), and the loop goes through its sockets before Event.Looked may end the try. Ruled out: gone peers (the list was current), refusals by peers (none).

Tests of the reducer and of the sockets fail without it.

--- a/src/main/java/granitefold/core/Effect.java
+++ b/src/main/java/granitefold/core/Effect.java
@@ -18,6 +18,9 @@
     /** Open a connection to a peer; the core numbers it. */
     record Connect(long connection, String address) implements Effect { }
 
+    /** Go through all that has come to the sockets by now, then report {@link Event.Looked}. */
+    record Look(long connection) implements Effect { }
+
     /** Write a try's request, which says that the dispatcher will wait for so long. */
     record SendRequest(long connection, Payload payload, long waitUs) implements Effect { }
 
--- a/src/main/java/granitefold/core/Event.java
+++ b/src/main/java/granitefold/core/Event.java
@@ -31,6 +31,9 @@
     /** A peer connection is up. */
     record PeerConnected(long connection) implements Event { }
 
+    /** Whatever had come when {@link Effect.Look} was asked for has been reported. */
+    record Looked(long connection) implements Event { }
+
     /** The last byte of a try's request has been written. */
     record RequestWritten(long connection) implements Event { }
 
--- a/src/main/java/granitefold/core/Reducer.java
+++ b/src/main/java/granitefold/core/Reducer.java
@@ -172,6 +172,8 @@
             clientGone(e.client());
         } else if (event instanceof Event.PeerConnected e) {
             peerConnected(pool.get(e.connection()));
+        } else if (event instanceof Event.Looked e) {
+            looked(pool.get(e.connection()));
         } else if (event instanceof Event.RequestWritten e) {
             PeerConnection c = pool.get(e.connection());
             if (c != null && c.state == PeerConnection.State.SENDING) {
@@ -363,10 +365,9 @@
         if (idle != null) {
             write(t);
         } else {
-            t.timer = timers.at(Math.min(expiresAt, now + bounds.connectTimeoutUs()), at -> {
-                drop(t);
-                end(t, at < expiresAt ? Outcome.UNREACHABLE : Outcome.MOOT);
-            });
+            // it may be up by now and only not read yet: a busy loop must not pass for a dead peer
+            t.timer = timers.at(Math.min(expiresAt, now + bounds.connectTimeoutUs()),
+                    at -> effects.add(new Effect.Look(t.connection.id)));
         }
     }
 
@@ -383,6 +384,15 @@
         effects.add(new Effect.SendRequest(t.connection.id, t.context.submission.payload(), t.expiresAt - now));
     }
 
+    /** The time to connect is up, and all that had come by then has been read. */
+    private void looked(PeerConnection c) {
+        if (c != null && c.state == PeerConnection.State.CONNECTING && c.carries != null) {
+            Try t = c.carries;
+            drop(t);
+            end(t, now < t.expiresAt ? Outcome.UNREACHABLE : Outcome.MOOT);
+        }
+    }
+
     private void peerConnected(PeerConnection c) {
         if (c == null || c.carries == null) {
             return;
--- a/src/main/java/granitefold/net/Loop.java
+++ b/src/main/java/granitefold/net/Loop.java
@@ -264,6 +264,8 @@
                 // else it has just closed by itself, which the reducer hears next
                 link.send(e.payload(), e.waitUs());
             }
+        } else if (effect instanceof Effect.Look e) {
+            sockets.afterLook(() -> post(new Event.Looked(e.connection())));
         } else if (effect instanceof Effect.ClosePeer e) {
             PeerLink link = peers.remove(e.connection());
             if (link != null) {
--- a/src/main/java/granitefold/net/Sockets.java
+++ b/src/main/java/granitefold/net/Sockets.java
@@ -61,6 +61,14 @@
         chooseSelector().submit(selector -> task.run());
     }
 
+    /**
+     * Runs a task once all that had come to the sockets by now has been gone through. Tasks wait for the next round:
+     * one for what was selected before, one for the select, one for what that hands on.
+     */
+    void afterLook(Runnable task) {
+        submit(() -> submit(() -> submit(task)));
+    }
+
     /** Takes new connections from a listener. */
     public void listen(ServerSocketChannel listener, Taking taking) {
         chooseSelector().submit(selector -> {
--- a/src/test/java/granitefold/core/ReducerTest.java
+++ b/src/test/java/granitefold/core/ReducerTest.java
@@ -191,10 +191,25 @@
         request();
         now += 120_000;
         play(new Event.Woken());
+        assertEquals(List.of(new Effect.Look(0)), all(Effect.Look.class));
+        play(new Event.Looked(0));
         assertEquals(1, all(Effect.ClosePeer.class).size());
         assertEquals(2, all(Effect.Connect.class).size());
     }
 
+    /** A loop that is slow, as after a start, had the time run out before it read the connects that were up long since. */
+    @Test
+    void aConnectThatIsUpButNotYetReadIsNoDeadPeer() {
+        request();
+        now += 130_000;
+        play(new Event.SiblingSaid(0, new byte[0]));
+        assertEquals(0, all(Effect.ClosePeer.class).size(), "whatever event it was that let the time run out");
+        play(new Event.PeerConnected(0));
+        play(new Event.Looked(0));
+        assertEquals(0, all(Effect.ClosePeer.class).size());
+        assertEquals(1, all(Effect.SendRequest.class).size());
+    }
+
     /** Whether the last byte was written tells what a break means: here the job may run, and must not run twice. */
     @Test
     void aBreakAfterTheLastByteFailsAnUnsafeJob() {
--- /dev/null
+++ b/src/test/java/granitefold/net/SocketsTest.java
@@ -0,0 +1,96 @@
+package granitefold.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.io.AbstractConnection;
+import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.io.EndPoint;
+import org.junit.jupiter.api.Test;
+
+class SocketsTest {
+    private static final class Silent extends AbstractConnection {
+        Silent(EndPoint endPoint) {
+            super(endPoint, Runnable::run);
+        }
+
+        @Override
+        public void onFillable() { }
+    }
+
+    private static final class Idle implements Sockets.Host {
+        @Override
+        public long untilWake() {
+            return 1_000;
+        }
+
+        @Override
+        public void wake() { }
+    }
+
+    /** A connection that came while the loop was busy is reported before whoever asked to look is told. */
+    @Test
+    void whatCameWhileTheLoopWasBusyIsReportedBeforeTheLook() throws Exception {
+        List<String> order = new CopyOnWriteArrayList<>();
+        CountDownLatch looked = new CountDownLatch(1);
+        Sockets sockets = new Sockets("test", new Idle());
+        sockets.start();
+        try (ServerSocketChannel server = ServerSocketChannel.open()) {
+            server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+            SocketChannel channel = SocketChannel.open();
+            channel.configureBlocking(false);
+            sockets.submit(() -> {
+                try {
+                    boolean up = channel.connect(server.getLocalAddress());
+                    Sockets.Opening opening = new Sockets.Opening() {
+                        @Override
+                        public Connection opened(EndPoint endPoint) {
+                            order.add("opened");
+                            return new Silent(endPoint);
+                        }
+
+                        @Override
+                        public void failed(Throwable why) {
+                            order.add("failed " + why);
+                        }
+                    };
+                    if (up) {
+                        sockets.accept(channel, opening);
+                    } else {
+                        sockets.connect(channel, opening);
+                    }
+                    // the loop stands still until the connection is up
+                    CompletableFuture.supplyAsync(() -> accept(server)).get(10, TimeUnit.SECONDS);
+                } catch (Exception e) {
+                    order.add("broken " + e);
+                }
+                sockets.afterLook(() -> {
+                    order.add("looked");
+                    looked.countDown();
+                });
+            });
+            looked.await(10, TimeUnit.SECONDS);
+            assertEquals(List.of("opened", "looked"), order);
+            channel.close();
+        } finally {
+            sockets.stop();
+        }
+    }
+
+    private static SocketChannel accept(ServerSocketChannel server) {
+        try {
+            return server.accept();
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
