--- a/src/main/java/granitefold/Decide.java
+++ b/src/main/java/granitefold/Decide.java
@@ -300,8 +300,10 @@
         for (Node n : near) {
             if ((n.mine || isCold(n, now)) && takes(n, job) && coldAllows(job, n, now)) {
                 n.counted = waitOn(n, job.slots, now);
-                n.wait = n.counted + (n.sharers.isEmpty() ? 0
-                        : Math.max(drift, n.out.stream().mapToDouble(a -> late(a, now)).max().orElse(0)));
+                double more = n.sharers.isEmpty() ? 0
+                        : Math.max(drift, n.out.stream().mapToDouble(a -> late(a, now)).max().orElse(0));
+                n.wait = n.counted + more;
+                n.queue = lanes.free(1) + more;
                 sum += n.wait;
                 reach.add(n);
             }
@@ -318,6 +320,7 @@
             if (takes(n, job) && coldAllows(job, n, now) && !reach.contains(n)) {
                 n.wait = waitOn(n, job.slots, now) + meanWait;
                 n.counted = n.wait - drift(now);
+                n.queue = lanes.free(1) + meanWait;
                 reach.add(n);
             }
         }
@@ -336,16 +339,15 @@
     /**
      * No fitting worker is expected to be done in time: before the client gives up, and by the class's aim
      * with some room for error. Late work, and above all work that nobody waits for, keeps an overload going
-     * after its cause is over. Nor may a wait pass what a mean job of any class bears: a queue that keeps the
-     * slots busy is long enough, a longer one makes tight jobs late. Harm: a job refused on a wait misjudged.
+     * after its cause is over. Nor may a queue, the wait for one slot, be longer than a mean job of any class
+     * bears: it is long enough if it keeps the slots busy, and makes tight jobs late. Harm: a wait misjudged.
      */
     private boolean hopeless(Job job, long now) {
         double allowed = allowed(job, now);
-        double most = Math.min(allowed, Math.max(tightest, HOPELESS_WAITS
-                * DoubleStream.of(slack).min().orElse(allowed)));
+        double most = Math.max(tightest, HOPELESS_WAITS * DoubleStream.of(slack).min().orElse(allowed));
         // suspect workers draw nothing: their short queues are no room, unless all are suspect
         boolean any = reach.stream().anyMatch(n -> !suspect(n, now));
-        return !reach.isEmpty() && reach.stream().noneMatch(n -> !(any && suspect(n, now)) && n.wait <= most
+        return !reach.isEmpty() && reach.stream().noneMatch(n -> !(any && suspect(n, now)) && n.queue <= most
                 && n.wait + run(n, job, now) <= allowed);
     }
 
--- a/src/main/java/granitefold/Node.java
+++ b/src/main/java/granitefold/Node.java
@@ -54,6 +54,8 @@
     /** The wait there for the job last surveyed: by what is known of jobs there, and as it is expected. */
     double counted;
     double wait;
+    /** The wait there for one slot: how long the queue is, whatever the job. */
+    double queue;
 
     /** A peer's word on its work: jobs, the time each takes, when they start, how long it counts. */
     record Word(int from, int jobs, double each, long startsAt, long until) { }
--- a/src/test/java/granitefold/DecideTest.java
+++ b/src/test/java/granitefold/DecideTest.java
@@ -187,6 +187,21 @@
         assertEquals(1, b.count("send"), "of 2 s each the second would bear to wait for 2.5 s, a mean one of another class 0.6 s");
     }
 
+    /** A roomy job waits for its slots to run free together: that is no queue, and such jobs are worth the most. */
+    @Test
+    void aRoomyJobMayWaitForItsSlotsWhereThereIsNoQueue() {
+        Bench b = new Bench(1, false).list(ListNews.WHOLE, Bench.worker(10, 0, 0));
+        for (int i = 0; i < 20; i++) {
+            b.end(b.request(Bench.SAFE, i % 2, 1_000, 9_000), 0, Outcome.SERVED);
+        }
+        b.pass(3_000);
+        b.request(Bench.SAFE, 0, 1_000, 9_000);
+        // of the 5 or so slots that 10 jobs of 1 s a second need, one is taken
+        b.module.requested(b.now, new Dispatcher.Request(99, Bench.SAFE, 0, 60_000_000, 2_000_000, 1_000, 0, 0));
+        assertTrue(b.module.reach.get(0).wait > 600_000 && b.module.reach.get(0).queue == 0, "one is free, not all");
+        assertTrue(b.log.contains("send 99 10"), "it is to start after 1 s, and would be in time");
+    }
+
     @Test
     void absurdQuotasMakeNoAbsurdSlots() {
         Bench b = new Bench(1, false).list(ListNews.WHOLE, Bench.worker(10, 0, 0));
