A try on a silent connection is told from one that waits in a queue

At fault: Decide.survey took the average and the maximum of late() over all tries that are out, and a try on a connection gone silent is late without bound, so every peer was hopeless for every class.

Change: a try overtaken by a later start at its peer (of no smaller job, or once its sign is overdue) tells of no queue. For the mean over all peers, one that is overdue while later sends have started is left out, and the last starts weigh in, as many as the learned drift follows. Silence without any such sign fades with the half-life of the drift, so that somebody tries. What was learned moved to FormerLife, which decides nothing.

--- a/src/main/java/granitefold/Attempt.java
+++ b/src/main/java/granitefold/Attempt.java
@@ -19,6 +19,8 @@
     long dueAt;
     long startedAt;
     double done;
+    /** It has not been heard to start, while one sent after it and no smaller has. */
+    boolean overtaken;
     Dispatcher.Outcome outcome;
 
     Attempt(Job job, Node node, long sentAt, double wait, double fetch) {
--- a/src/main/java/granitefold/Decide.java
+++ b/src/main/java/granitefold/Decide.java
@@ -10,7 +10,6 @@
 import java.util.SplittableRandom;
 import java.util.stream.DoubleStream;
 import java.util.stream.IntStream;
-import java.util.stream.LongStream;
 
 /**
  * Every decision of a dispatcher. The interface (settings, events, actions) is {@link Dispatcher}, in
@@ -88,7 +87,7 @@
     private final Settings set;
     private final Actions out;
     private final SplittableRandom random;
-    private final Map<Long, Node> nodes = new LinkedHashMap<>();
+    final Map<Long, Node> nodes = new LinkedHashMap<>();
     private final Map<Long, Job> jobs = new HashMap<>();
     final LinkedHashMap<Integer, Bucket> buckets = new LinkedHashMap<>(16, 0.75f, true);
     private final double fleetRate;
@@ -97,10 +96,10 @@
     private final double[] slack;
     private final int siblings;
     private final Lanes lanes = new Lanes();
-    private final Map<Integer, Speed> kinds = new HashMap<>();
-    private final Map<Integer, Integer> kindSlots = new HashMap<>();
-    private double meanWork;
-    private long worksSeen;
+    final Map<Integer, Speed> kinds = new HashMap<>();
+    final Map<Integer, Integer> kindSlots = new HashMap<>();
+    double meanWork;
+    long worksSeen;
     private double mostSize;
     private long listKey;
     /** Workers of our subset and cold ones; of them and a spill's, those that the job in hand may go to. */
@@ -111,9 +110,11 @@
     private final Words words = new Words();
     private boolean freeTold;
     private double bytesRelay;
-    private double fetchTime = FETCH_US, kept = KEPT;
+    double fetchTime = FETCH_US, kept = KEPT;
     private double drift;
     private long driftAt;
+    /** When the latest sent of the jobs that have started was sent. */
+    private long startSentAt;
     private long askPause = ASK_FIRST_US;
 
     /** A fresh instance, which knows nothing yet; the seed is its only source of chance. */
@@ -164,6 +165,10 @@
             a.startedAt = Math.max(1, now);
             a.node.heardAt = now;
             expect(a, nextSign(a, now), now);
+            startSentAt = Math.max(startSentAt, a.sentAt);
+            // a large one may be passed by small ones for a while
+            a.node.out.stream().filter(o -> o.sentAt + NOTE_US < a.sentAt
+                    && (o.job.slots <= a.job.slots || now > o.dueAt)).forEach(o -> o.overtaken = true);
             drift = drift(now) + DRIFT_NEW * (late(a, now) - drift(now));
             driftAt = now;
             if (!freeTold) {
@@ -248,6 +253,10 @@
         return new Pressure(ready, full, ready == 0 ? 0 : least, tightest);
     }
 
+    int me() {
+        return set.me();
+    }
+
     private Attempt attempt(long request, int number) {
         Job job = jobs.get(request);
         return job == null || number < 0 || number >= job.attempts.size() ? null : job.attempts.get(number);
@@ -264,7 +273,7 @@
 
     // ---------------------------------------------------------------- ADMISSION
     /** The tenant's bucket, credited up to now; null where the site told no quota for it. */
-    private Bucket bucket(int tenant, long now) {
+    Bucket bucket(int tenant, long now) {
         if (tenant < 0 || tenant >= set.tenants().size() || !(fleetRate > 0)) {
             return null;
         }
@@ -295,13 +304,23 @@
     private void survey(Job job, long now) {
         reach.clear();
         double sum = 0;
-        double drift = Math.max(drift(now), near.stream().flatMap(n -> n.out.stream())
-                .mapToDouble(a -> late(a, now)).average().orElse(0));
+        // the last starts weigh in: of few that are out, one on a silent connection would tell for all
+        double starts = faded(driftAt, now) / DRIFT_NEW, late = starts * drift(now), told = starts;
+        for (Node n : near) {
+            for (Attempt a : n.out) {
+                if (tells(a) && (a.startedAt != 0 || now <= a.dueAt || a.sentAt > startSentAt)) {
+                    late += late(a, now);
+                    told++;
+                }
+            }
+        }
+        double drift = Math.max(drift(now), late / Math.max(1, told));
         for (Node n : near) {
             if ((n.mine || isCold(n, now)) && takes(n, job) && coldAllows(job, n, now)) {
                 n.counted = waitOn(n, job.slots, now);
                 double more = n.sharers.isEmpty() ? 0
-                        : Math.max(drift, n.out.stream().mapToDouble(a -> late(a, now)).max().orElse(0));
+                        : Math.max(drift, n.out.stream()
+                        .filter(Decide::tells).mapToDouble(a -> late(a, now)).max().orElse(0));
                 n.wait = n.counted + more;
                 n.queue = lanes.free(1) + more;
                 sum += n.wait;
@@ -493,13 +512,22 @@
 
     /** How much longer than counted jobs lately waited; fades after a word's time, so that somebody tries. */
     private double drift(long now) {
-        return drift * Math.pow(0.5, Math.max(0, now - driftAt - WORD_US) / WORD_US);
+        return drift * faded(driftAt, now);
     }
 
-    /** How much longer than counted a job of ours waited, or waits already. */
+    private static double faded(long at, long now) {
+        return Math.pow(0.5, Math.max(0, now - at - WORD_US) / WORD_US);
+    }
+
+    /** How much longer than counted a job of ours waited, or waits already: its silence says ever less. */
     private static double late(Attempt a, long now) {
         double due = a.sentAt + a.counted;
-        return (a.startedAt != 0 ? a.startedAt : Math.max(now, due)) - due;
+        return a.startedAt != 0 ? a.startedAt - due : Math.max(0, now - due) * faded(a.dueAt, now);
+    }
+
+    /** How late it is tells of work there. Not so on a connection gone silent: one sent later has started. */
+    private static boolean tells(Attempt a) {
+        return a.startedAt != 0 || !a.overtaken;
     }
 
     /** When an attempt began to run, as told or, where workers do not tell, as expected; 0 if it waits. */
@@ -698,6 +726,11 @@
         return COLD_SAFETY * set.rules().fallMultiple() * set.rules().fallUs() / 1e6 * perS * warmth(n, now);
     }
 
+    double coldSent(Node n, long now) {
+        return n.coldSends.stream().filter(s -> s[0] > now - set.rules().fallUs())
+                .mapToDouble(s -> s[1]).sum();
+    }
+
     /** We are an owner, and our part, with rejected sends counted, has room for the job. */
     private boolean coldAllows(Job job, Node n, long now) {
         if (!isCold(n, now)) {
@@ -852,58 +885,12 @@
     // ---------------------------------------------------------------- LEARNED
     @Override
     public Learned learned(long now) {
-        List<Learned.Kind> of = kinds.entrySet().stream().map(e -> new Learned.Kind(e.getKey(),
-                e.getValue().sum(), e.getValue().weight(), kindSlots.getOrDefault(e.getKey(), 0))).toList();
-        List<Learned.Peer> peers = nodes.values().stream().filter(n -> n.state != State.GONE)
-                .map(n -> new Learned.Peer(n.id, n.kind, n.startedAt, n.lostAt, n.speed.sum(),
-                n.speed.weight(), n.slots, coldSent(n, now), n.keys())).toList();
-        List<Learned.Bucket> full = buckets.entrySet().stream().map(e -> new Learned.Bucket(e.getKey(),
-                LongStream.of(e.getValue().used).boxed().toList(), e.getValue().credited,
-                e.getValue().refilledAt)).toList();
-        return new Learned(now, fetchTime, kept, meanWork, worksSeen, of, peers, full, List.of());
-    }
-
-    private double coldSent(Node n, long now) {
-        return n.coldSends.stream().filter(s -> s[0] > now - set.rules().fallUs())
-                .mapToDouble(s -> s[1]).sum();
+        return FormerLife.learned(this, now);
     }
 
     @Override
     public void restore(long now, Learned l) {
-        if (l.works() > worksSeen) {
-            meanWork = l.meanWork();
-            worksSeen = l.works();
-            fetchTime = l.fetchUs();
-            kept = l.kept();
-        }
-        for (Learned.Kind k : l.kinds()) {
-            kinds.computeIfAbsent(k.kind(), x -> new Speed(KIND_MEMORY)).restore(k.sum(), k.weight());
-            kindSlots.merge(k.kind(), k.slots(), Math::max);
-        }
-        for (Learned.Peer p : l.peers()) {
-            Node n = nodes.get(p.id());
-            if (n != null) {
-                n.speed.restore(p.sum(), p.weight());
-                n.slots = Math.max(n.slots, p.slots());
-                n.restoreKeys(p.kept());
-                n.lostAt = Math.max(n.lostAt, Math.min(now, p.lostAt()));
-                if (p.work() > 0) {
-                    // as if it were sent just now: a cold budget is never spent twice
-                    n.coldSends.addLast(new double[] {now, p.work()});
-                }
-            }
-        }
-        for (Learned.Bucket k : l.buckets()) {
-            Bucket b = bucket(k.tenant(), now);
-            for (int owner = 0; b != null && owner < Math.min(siblings, k.used().size()); owner++) {
-                // our own use of this life comes on top, as where gossip brings the former one back
-                b.merge(owner, k.used().get(owner) + (owner == set.me() ? b.sinceStart : 0), 0);
-            }
-            if (b != null) {
-                double since = Math.max(0, now - k.refilledAt()) / 1e6;
-                b.merge(0, 0, Math.min(k.credited() + b.rate * since, b.total + b.capacity));
-            }
-        }
+        FormerLife.restore(this, now, l);
     }
 
     /** How long a word counts on jobs that take so long after such a wait. */
@@ -952,7 +939,7 @@
         long sinceStart;
         long total;
         double credited;
-        private long refilledAt;
+        long refilledAt;
 
         Bucket(double rate, double capacity, int owners, long now) {
             this.rate = rate;
--- a/src/test/java/granitefold/ManyDispatchersTest.java
+++ b/src/test/java/granitefold/ManyDispatchersTest.java
@@ -222,4 +222,56 @@
 
     /** With a tenth of the messages lost, a dispatcher knows at least so much of the fleet's use of a tenant. */
     private static final double STATED_MEAN = 0.45, STATED_LEAST = 0.3;
+
+    /**
+     * One connection gone silent made all peers of all classes hopeless: its lateness grew without bound, counted as work
+     * that siblings did not tell of, and who then sent nothing had no start to learn from.
+     */
+    @Test
+    void aSilentTryIsNoQueue() {
+        Bench b = Bench.numbered(0, 2).three();
+        long silent = b.request(Bench.SAFE, 0, 100, 9_000);
+        long worker = b.lastWorker();
+        for (int i = 0; i < 40; i++) {
+            long id = b.request(Bench.SAFE, 1, 100, 9_000);
+            long other = b.request(Bench.SAFE, 0, 100, 9_000);
+            assertEquals(0, b.count("refuse"), "nothing but the silence of request " + silent + " is known");
+            b.module.started(b.now, id, 0);
+            b.module.started(b.now, other, 0);
+            b.pass(100);
+            b.end(id, 0, Outcome.SERVED);
+            b.end(other, 0, Outcome.SERVED);
+        }
+        b.pass(4_000);
+        for (int i = 0; i < 3; i++) {
+            b.request(Bench.SAFE, 1, 100, 9_000);
+        }
+        assertEquals(0, b.count("refuse"));
+        assertTrue(b.sentTo.lastIndexOf(worker) > 0, "its worker is tried again");
+    }
+
+    /** A later send to the same peer that has started shows at once that the first is not waiting. */
+    @Test
+    void whatWasOvertakenTellsOfNoQueue() {
+        Bench b = Bench.numbered(0, 2).list(ListNews.WHOLE, Bench.worker(10, 0, 0));
+        b.request(Bench.SAFE, 0, 100, 9_000);
+        b.pass(100);
+        long next = b.request(Bench.SAFE, 0, 100, 9_000);
+        b.module.started(b.now, next, 0);
+        b.pass(100);
+        b.end(next, 0, Outcome.SERVED);
+        b.pass(400);
+        b.request(Bench.SAFE, 1, 100, 9_000);
+        assertEquals(0, b.count("refuse"));
+    }
+
+    /** Without such a sign lateness tells of work that nobody told us of. */
+    @Test
+    void whatWaitsUnheardTellsOfAQueue() {
+        Bench b = Bench.numbered(0, 2).list(ListNews.WHOLE, Bench.worker(10, 0, 0));
+        b.request(Bench.SAFE, 0, 100, 9_000);
+        b.pass(650);
+        b.request(Bench.SAFE, 1, 100, 9_000);
+        assertEquals(1, b.count("refuse"));
+    }
 }
