--- a/src/main/java/granitefold/Decide.java
+++ b/src/main/java/granitefold/Decide.java
@@ -116,6 +116,7 @@
     /** When the latest sent of the jobs that have started was sent. */
     private long startSentAt;
     private long askPause = ASK_FIRST_US;
+    private boolean relieved;
 
     /** A fresh instance, which knows nothing yet; the seed is its only source of chance. */
     public Decide(Settings settings, long seed, Actions actions) {
@@ -257,6 +258,18 @@
         return set.me();
     }
 
+    @Override
+    public Choice choice(long now) {
+        List<Node> listed = nodes.values().stream().filter(n -> n.state != State.GONE).toList();
+        return new Choice(listed.size(), (int) listed.stream()
+                .filter(n -> n.state != State.READY || suspect(n, now)).count());
+    }
+
+    @Override
+    public void relieved() {
+        relieved = true;
+    }
+
     private Attempt attempt(long request, int number) {
         Job job = jobs.get(request);
         return job == null || number < 0 || number >= job.attempts.size() ? null : job.attempts.get(number);
@@ -752,7 +765,7 @@
             long own = Node.mix(n.id, set.me());
             n.rank = (int) IntStream.range(0, siblings).filter(s -> Node.mix(n.id, s) < own).count();
         }
-        return n.rank < owners(n, now);
+        return !relieved && n.rank < owners(n, now);
     }
 
     // ---------------------------------------------------------------- LIST
--- a/src/main/java/granitefold/Dispatcher.java
+++ b/src/main/java/granitefold/Dispatcher.java
@@ -128,6 +128,15 @@
     /** How hard pressed the module takes its workers to be. */
     Pressure pressure(long now);
 
+    /** Workers in the list, and of them those that get no job while others have room: told to drain, or suspect. */
+    record Choice(int listed, int avoided) { }
+
+    /** What {@link Choice} says, as of now. */
+    Choice choice(long now);
+
+    /** Another process of this instance serves from now on: what is left here leaves the cold budgets to it. */
+    void relieved();
+
     /** What was learned and is worth keeping past this life. */
     Learned learned(long now);
 
--- a/src/main/java/granitefold/Rehearsal.java
+++ b/src/main/java/granitefold/Rehearsal.java
@@ -1,11 +1,13 @@
 package granitefold;
 
 import granitefold.net.Loop;
+import granitefold.net.checks.Ops;
 import granitefold.wire.Config;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -26,7 +28,7 @@
 
     /** Loaded with an operator's file or for other commands only: in the archive they would cost every start. */
     private static final String ELSEWHERE = "granitefold\\.(cli\\.(Commands|ControlClient|JsonLines|StateCommand)|operator\\.(OperatorFile"
-            + "|Section)|net\\.checks\\.|state\\.|recovery\\.Ageing|shaded\\.jackson\\.(databind|annotation|dataformat)).*";
+            + "|Section)|net\\.checks\\.(Checks|HttpCheck|Agent|Control)|state\\.|recovery\\.Ageing|shaded\\.jackson\\.(databind|annotation|dataformat)).*";
 
     private Rehearsal() { }
 
@@ -38,10 +40,12 @@
                 + peer.getLocalPort() + "\",\"status\":\"up\"}]}";
         ServerSocket discovery = server(list);
         Path file = Files.createTempFile("rehearsal", ".json");
-        Files.writeString(file, "{\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:" + discovery.getLocalPort()
+        Files.writeString(file, "{\"listen\":\"127.0.0.1:0\",\"ops\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:" + discovery.getLocalPort()
                 + "\",\"known\":" + list + ",\"settings\":{\"limits\":{\"attemptsCap\":1,\"connectTimeoutMs\":900},"
                 + "\"classes\":[{\"name\":\"job\",\"effect\":\"retryable\",\"onTimeMs\":900,\"deadlineMs\":900}]}}");
-        Loop loop = new Loop(Config.read(file));
+        Config config = Config.read(file);
+        Loop loop = new Loop(config);
+        InetSocketAddress ops = new Ops(config.ops(), loop, config.words().classNames()).start();
         Files.delete(file);
         loop.start();
         try (Socket client = new Socket()) {
@@ -49,6 +53,13 @@
             client.getOutputStream().write(REQUEST.getBytes(StandardCharsets.US_ASCII));
             client.getInputStream().readAllBytes();
         }
+        for (String call : new String[] {"check\n", "vars\n"}) {
+            try (Socket caller = new Socket()) {
+                caller.connect(ops);
+                caller.getOutputStream().write(call.getBytes(StandardCharsets.US_ASCII));
+                caller.getInputStream().readAllBytes();
+            }
+        }
         // not as a planned end, which leaves no time to write the archive
         System.exit(0);
     }
--- a/src/main/java/granitefold/cli/Serve.java
+++ b/src/main/java/granitefold/cli/Serve.java
@@ -4,6 +4,7 @@
 import granitefold.logging.LogEvent;
 import granitefold.net.Loop;
 import granitefold.net.checks.Checks;
+import granitefold.net.checks.Ops;
 import granitefold.operator.Operator;
 import granitefold.operator.OperatorFile;
 import granitefold.state.StateKeeper;
@@ -66,6 +67,9 @@
             keeper = new StateKeeper(operator.state().dir(), operator.state().keep(), platform.places(), loop::recovered);
             loop.keeper(keeper::keep);
         }
+        if (platform.ops() != null) {
+            new Ops(platform.ops(), loop, platform.words().classNames()).start();
+        }
         if (operator.checks()) {
             checks = new Checks(loop.name(), loop, operator);
             checks.start();
--- /dev/null
+++ b/src/main/java/granitefold/core/Bookkeeper.java
@@ -0,0 +1,65 @@
+package granitefold.core;
+
+import granitefold.Dispatcher;
+import granitefold.figures.Figures;
+import granitefold.figures.Tally;
+import java.util.List;
+
+/** Keeps the figures and publishes them at an interval. Where nobody may ask for them it does nothing. */
+final class Bookkeeper {
+    /** Figures may be half a second old when they are read. */
+    static final long EVERY_US = 100_000;
+
+    private final Reducer reducer;
+    private final Timers timers;
+    private final List<Effect> effects;
+    private final Tally tally;
+
+    Bookkeeper(boolean on, int classes, Reducer reducer, Timers timers, List<Effect> effects) {
+        tally = on ? new Tally(classes) : null;
+        this.reducer = reducer;
+        this.timers = timers;
+        this.effects = effects;
+    }
+
+    void opened(long now) {
+        if (tally != null) {
+            publish();
+            timers.at(now + EVERY_US, this::opened);
+        }
+    }
+
+    /** Tells how things stand now, out of turn where something of weight has changed. */
+    void publish() {
+        if (tally != null) {
+            Dispatcher.Choice choice = reducer.choice();
+            Figures f = tally.figures(reducer.owed(), choice.listed(), choice.avoided(), reducer.ready());
+            effects.add(new Effect.Count(f));
+        }
+    }
+
+    void answering(long client, int jobClass, FinalAnswer answer) {
+        if (tally != null) {
+            tally.answering(client, jobClass, answer instanceof FinalAnswer.Served ? Tally.End.SUCCESS
+                    : answer instanceof FinalAnswer.Rejected ? Tally.End.OVERLOAD : Tally.End.ERROR);
+        }
+    }
+
+    void written(long client) {
+        if (tally != null) {
+            tally.written(client);
+        }
+    }
+
+    void closed(long client) {
+        if (tally != null) {
+            tally.closed(client);
+        }
+    }
+
+    void dispatched() {
+        if (tally != null) {
+            tally.dispatched();
+        }
+    }
+}
--- a/src/main/java/granitefold/core/Effect.java
+++ b/src/main/java/granitefold/core/Effect.java
@@ -1,5 +1,6 @@
 package granitefold.core;
 
+import granitefold.figures.Figures;
 import granitefold.logging.LogEvent;
 import granitefold.recovery.Learned;
 
@@ -39,9 +40,15 @@
     /** Report {@link Event.Woken} at a time; replaces the one asked for before. */
     record WakeAt(long at) implements Effect { }
 
-    /** Close the listener, and client connections that are idle. */
+    /** Take in what has connected by now, then close the listener. */
     record StopListening() implements Effect { }
 
+    /** Close client connections that are idle. */
+    record CloseIdle() implements Effect { }
+
+    /** Leave the siblings' datagrams to another process of this dispatcher. */
+    record LeaveSiblings() implements Effect { }
+
     /** All is done: flush what is being written, then end the process. */
     record Stop() implements Effect { }
 
@@ -54,6 +61,9 @@
     /** Tell balancers and operators how the dispatcher stands. */
     record Publish(Report report) implements Effect { }
 
+    /** Show these figures to whoever asks. */
+    record Count(Figures figures) implements Effect { }
+
     /** Keep what was learned, where it outlives the process. */
     record Keep(Learned learned) implements Effect { }
 
--- a/src/main/java/granitefold/core/Event.java
+++ b/src/main/java/granitefold/core/Event.java
@@ -58,8 +58,8 @@
     /** A sibling's datagram. */
     record SiblingSaid(int from, byte[] message) implements Event { }
 
-    /** The program was told to end. */
-    record Terminated() implements Event { }
+    /** The program was told to end; {@code relieved}: another process of this dispatcher serves at its addresses. */
+    record Terminated(boolean relieved) implements Event { }
 
     /** The process was measured. */
     record Sampled(Resources resources) implements Event { }
--- a/src/main/java/granitefold/core/Extras.java
+++ b/src/main/java/granitefold/core/Extras.java
@@ -4,11 +4,16 @@
 import granitefold.health.HealthSettings;
 import granitefold.recovery.AgeingSettings;
 
-/** What an operator's file adds to the core; each part is null where it is off. */
-public record Extras(AvailabilitySettings availability, HealthSettings health, Memory memory) {
+/** What an operator's file adds to the core, each part null where it is off; {@code figures}: they are kept. */
+public record Extras(AvailabilitySettings availability, HealthSettings health, Memory memory, boolean figures) {
     /** What was learned is to outlive the process: it is given out at this interval, in microseconds. */
     public record Memory(long everyUs, AgeingSettings ageing) { }
 
+    /** The same with or without figures. */
+    public Extras withFigures(boolean on) {
+        return new Extras(availability, health, memory, on);
+    }
+
     /** Nothing: no timer, no state, no effect. */
-    public static final Extras NONE = new Extras(null, null, null);
+    public static final Extras NONE = new Extras(null, null, null, false);
 }
--- a/src/main/java/granitefold/core/Reducer.java
+++ b/src/main/java/granitefold/core/Reducer.java
@@ -56,6 +56,7 @@
     /** Outcomes of tries that ended within a call of the module, which is told once that call is over. */
     private final ArrayDeque<Runnable> afterwards = new ArrayDeque<>();
     private final Attendance attendance;
+    private final Bookkeeper books;
     /** Null where neither probes nor tries are to say which peers look dead. */
     private final PeerHealth health;
     /** Null where nothing outlives the process. */
@@ -65,6 +66,10 @@
     /** From then on answers close their connections. */
     private long listensUntil = Long.MAX_VALUE;
     private long siblingHeardAt;
+    /** Discovery has spoken, or the wait for its first word is over. */
+    private boolean listKnown;
+    /** Another process of this dispatcher serves: this one ends once its clients have gone over. */
+    private boolean relieved;
     /** By then every request is to have its answer. */
     private long endsAt = Long.MAX_VALUE;
     private long wakeAt = Long.MAX_VALUE;
@@ -82,6 +87,7 @@
     public Reducer(Settings settings, Bounds bounds, long seed, Extras extras) {
         this.bounds = bounds;
         attendance = new Attendance(extras.availability(), bounds.clientConnections(), this, timers, effects);
+        books = new Bookkeeper(extras.figures(), settings.classes().size(), this, timers, effects);
         health = extras.health() == null ? null : new PeerHealth(extras.health(), seed, timers, effects);
         pool = new Pool(bounds.peerConnections(), bounds.idleCloseUs(), timers, effects);
         clients = new Clients(bounds.clientConnections(), timers, effects);
@@ -99,6 +105,15 @@
         return module.pressure(now);
     }
 
+    Dispatcher.Choice choice() {
+        return module.choice(now);
+    }
+
+    /** Whether this process can serve, as far as it knows. */
+    boolean ready() {
+        return phase == Phase.SERVING && listKnown;
+    }
+
     double clientShare() {
         return (double) clients.size() / bounds.clientConnections();
     }
@@ -133,6 +148,9 @@
             due.accept(now);
             settle();
         }
+        if (relieved && phase == Phase.DRAINING && clients.size() == 0 && now >= listensUntil + LAST_READ_US) {
+            enter(Phase.FINISHING);
+        }
         if (phase == Phase.FINISHING && owed.isEmpty()) {
             enter(Phase.STOPPED);
             if (recollection != null) {
@@ -166,8 +184,10 @@
         } else if (event instanceof Event.AnsweredHere e) {
             clients.answering(e.client(), now);
         } else if (event instanceof Event.AnswerWritten e) {
+            books.written(e.client());
             clients.written(e.client(), e.last(), now);
         } else if (event instanceof Event.ClientClosed e) {
+            books.closed(e.client());
             clients.closed(e.client());
             clientGone(e.client());
         } else if (event instanceof Event.PeerConnected e) {
@@ -175,6 +195,7 @@
         } else if (event instanceof Event.Looked e) {
             looked(pool.get(e.connection()));
         } else if (event instanceof Event.RequestWritten e) {
+            books.dispatched();
             PeerConnection c = pool.get(e.connection());
             if (c != null && c.state == PeerConnection.State.SENDING) {
                 c.state = PeerConnection.State.WAITING;
@@ -191,7 +212,7 @@
             if (news) {
                 listed(e.list().whole() ? ListNews.WHOLE : ListNews.CHANGES, e.list());
             }
-            serve();
+            listKnown();
         } else if (event instanceof Event.WatchEnded e) {
             watch.ended(e.why(), now);
         } else if (event instanceof Event.DiscoveryMoved e) {
@@ -199,8 +220,8 @@
         } else if (event instanceof Event.SiblingSaid e) {
             siblingHeardAt = now;
             module.heard(now, e.from(), e.message());
-        } else if (event instanceof Event.Terminated) {
-            terminated();
+        } else if (event instanceof Event.Terminated e) {
+            terminated(e.relieved());
         } else if (event instanceof Event.Sampled e) {
             attendance.sampled(e.resources(), now);
         } else if (event instanceof Event.Wished e) {
@@ -219,6 +240,7 @@
         phase = next;
         effects.add(new Effect.Log(LogEvent.PHASE, next));
         attendance.evaluate(now);
+        books.publish();
     }
 
     private void opened(PeerList known, String discovery) {
@@ -230,10 +252,10 @@
         if (peers.values().stream().anyMatch(p -> p.state == State.READY)) {
             // a start after a planned end or a crash: clients wait for it, and the last list is as good as it was
             serve();
-        } else {
-            timers.at(now + START_US, t -> serve());
         }
+        timers.at(now + START_US, t -> listKnown());
         sweep(now);
+        books.opened(now);
         if (recollection != null) {
             recollection.begin(now);
         }
@@ -242,6 +264,16 @@
         }
     }
 
+    /** There is no better list to be had for now. */
+    private void listKnown() {
+        boolean first = !listKnown;
+        listKnown = true;
+        serve();
+        if (first) {
+            books.publish();
+        }
+    }
+
     private void serve() {
         if (phase == Phase.STARTING) {
             enter(Phase.SERVING);
@@ -252,18 +284,33 @@
      * A planned end: clients are served on for a moment, or where no sibling is there to take them over for as long
      * as jobs can still be done. Then the listener and idle connections go, and what is left open shortly before the
      * process may be killed gets its final answer.
+     *
+     * <p>Where another process of this dispatcher serves at the same address, the listener goes at once, so that every
+     * new connection is the other's. Clients that have one are sent over by what they are answered, since closing it
+     * might cross a request.
      */
-    private void terminated() {
+    private void terminated(boolean other) {
         if (phase.compareTo(Phase.DRAINING) >= 0) {
             return;
         }
+        relieved = other;
         enter(Phase.DRAINING);
         boolean company = siblingHeardAt != 0 && now - siblingHeardAt < COMPANY_US;
-        listensUntil = now + (company ? HAND_OVER_US : SERVE_ON_US);
+        listensUntil = now + (relieved ? 0 : company ? HAND_OVER_US : SERVE_ON_US);
         endsAt = now + FINISH_US;
+        if (relieved) {
+            module.relieved();
+            effects.add(new Effect.LeaveSiblings());
+        }
         timers.at(listensUntil, t -> effects.add(new Effect.StopListening()));
+        long keepsUntil = relieved ? now + SERVE_ON_US : listensUntil;
+        timers.at(keepsUntil, t -> effects.add(new Effect.CloseIdle()));
         // what the last read of idle connections brings up is taken in before the end is near
-        timers.at(listensUntil + LAST_READ_US, t -> enter(Phase.FINISHING));
+        timers.at(keepsUntil + LAST_READ_US, t -> {
+            if (phase == Phase.DRAINING) {
+                enter(Phase.FINISHING);
+            }
+        });
         timers.at(endsAt, t -> List.copyOf(owed.values()).forEach(this::giveUp));
     }
 
@@ -275,18 +322,18 @@
     // ---------------------------------------------------------------- request contexts
     private void requestArrived(long client, Submission s) {
         if (owed.size() >= bounds.requests()) {
-            reply(client, FinalAnswer.Rejected.BY_LIMIT);
+            reply(client, s.jobClass(), FinalAnswer.Rejected.BY_LIMIT);
             return;
         }
         long blocked = recollection == null ? 0 : recollection.blocked(s, now);
         if (blocked > 0) {
             // a former life of ours may have sent it: by the end of its window a repeat is a job of its own
-            reply(client, new FinalAnswer.Rejected(blocked));
+            reply(client, s.jobClass(), new FinalAnswer.Rejected(blocked));
             return;
         }
         if (!names.add(s.name())) {
             // an answer or a cancel for one of the two would be taken for the other's
-            reply(client, new FinalAnswer.Duplicate());
+            reply(client, s.jobClass(), new FinalAnswer.Duplicate());
             return;
         }
         long deadline = Math.min(now + s.remainingUs(), endsAt);
@@ -312,7 +359,7 @@
 
     private void answer(RequestContext c, FinalAnswer answer) {
         over(c);
-        reply(c.client, answer);
+        reply(c.client, c.submission.jobClass(), answer);
     }
 
     private void over(RequestContext c) {
@@ -321,8 +368,9 @@
         owed.remove(c.client);
     }
 
-    private void reply(long client, FinalAnswer answer) {
+    private void reply(long client, int jobClass, FinalAnswer answer) {
         clients.answering(client, now);
+        books.answering(client, jobClass, answer);
         attendance.answered(answer, now);
         effects.add(new Effect.Answer(client, answer, now >= listensUntil || attendance.sendsAway()));
     }
--- /dev/null
+++ b/src/main/java/granitefold/figures/Tally.java
@@ -0,0 +1,56 @@
+package granitefold.figures;
+
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Counts what becomes of jobs and tries. An answer counts once its last byte is written; of a client that leaves
+ * before that, nothing counts.
+ */
+public final class Tally {
+    /** How a job ended for its client. */
+    public enum End { SUCCESS, OVERLOAD, ERROR }
+
+    private record Answer(int jobClass, End end) { }
+
+    private final Figures.Replies[] replies;
+    /** Answers on their way out, by client connection: each has one at a time. */
+    private final Map<Long, Answer> writing = new HashMap<>();
+    private long dispatches;
+
+    /** For so many classes. */
+    public Tally(int classes) {
+        replies = new Figures.Replies[classes];
+        Arrays.fill(replies, Figures.Replies.NONE);
+    }
+
+    /** A job of this class has its final answer, which is being written to this client connection. */
+    public void answering(long client, int jobClass, End end) {
+        writing.put(client, new Answer(jobClass, end));
+    }
+
+    /** What was being written to the client is out. */
+    public void written(long client) {
+        Answer a = writing.remove(client);
+        if (a != null) {
+            replies[a.jobClass()] = replies[a.jobClass()].plus(a.end());
+        }
+    }
+
+    /** The client connection is gone. */
+    public void closed(long client) {
+        writing.remove(client);
+    }
+
+    /** A try's request was written whole. */
+    public void dispatched() {
+        dispatches++;
+    }
+
+    /** The figures now, with what others count: requests owed an answer, and peers. */
+    public Figures figures(int owed, int targets, int targetsDisabled, boolean serves) {
+        return new Figures(List.of(replies), dispatches, owed + writing.size(), targets, targetsDisabled, serves);
+    }
+}
--- a/src/main/java/granitefold/logging/LogEvent.java
+++ b/src/main/java/granitefold/logging/LogEvent.java
@@ -18,6 +18,8 @@
     OPERATOR_KEPT("operator.kept", Level.WARN, "operator: kept as it was: {}", "reason"),
     OPERATOR_RESTART("operator.restart", Level.WARN, "operator: {} takes effect at the next start", "key"),
     SIBLINGS_LOST("siblings.lost", Level.WARN, "siblings: cannot listen on {}: {}", "address", "reason"),
+    COMPANY_UNKNOWN("company.unknown", Level.WARN, "upgrade: cannot tell who else serves, by {}: {}", "file", "reason"),
+    RELIEVED("relieved", Level.INFO, "upgrade: another process serves at {}, clients go over to it", "address"),
     AVAILABILITY("availability", Level.INFO, "availability: {} to {}, weight {}: {}", "from", "to", "weight", "reason"),
     CHECKS_LISTENING("checks.listening", Level.INFO, "checks: {} on {}", "front", "address"),
     CHECKS_FAILED("checks.failed", Level.WARN, "checks: {} cannot listen on {}: {}", "front", "address", "reason"),
--- /dev/null
+++ b/src/main/java/granitefold/net/Links.java
@@ -0,0 +1,145 @@
+package granitefold.net;
+
+import granitefold.core.Effect;
+import granitefold.core.Event;
+import granitefold.logging.EventLog;
+import granitefold.logging.LogEvent;
+import granitefold.operator.Operator;
+import granitefold.wire.Address;
+import granitefold.wire.Config;
+import java.io.IOException;
+import java.net.StandardSocketOptions;
+import java.nio.channels.DatagramChannel;
+import java.util.HashMap;
+import java.util.Map;
+import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.io.EndPoint;
+
+/** What the dispatcher opens by itself: connections to peers and to discovery, probes, and the siblings' datagrams. */
+final class Links {
+    private final Loop loop;
+    private final Sockets sockets;
+    private final Config config;
+    private final Operator operator;
+    private final Map<Long, PeerLink> peers = new HashMap<>();
+    private final Map<Long, ProbeLink> probes = new HashMap<>(0);
+    private SiblingConnection siblings;
+    private WatchLink watch;
+
+    Links(Loop loop, Sockets sockets, Config config, Operator operator) {
+        this.loop = loop;
+        this.sockets = sockets;
+        this.config = config;
+        this.operator = operator;
+    }
+
+    /** Connections to peers. */
+    int size() {
+        return peers.size();
+    }
+
+    void perform(Effect effect) {
+        if (effect instanceof Effect.Connect e) {
+            PeerLink link = new PeerLink(loop, this, e.connection(), e.address());
+            peers.put(e.connection(), link);
+            link.connect(sockets);
+        } else if (effect instanceof Effect.SendRequest e) {
+            PeerLink link = peers.get(e.connection());
+            if (link != null) {
+                // else it has just closed by itself, which the reducer hears next
+                link.send(e.payload(), e.waitUs());
+            }
+        } else if (effect instanceof Effect.Look e) {
+            sockets.afterLook(() -> loop.post(new Event.Looked(e.connection())));
+        } else if (effect instanceof Effect.ClosePeer e) {
+            PeerLink link = peers.remove(e.connection());
+            if (link != null) {
+                link.close();
+            }
+        } else if (effect instanceof Effect.OpenWatch e) {
+            watch = new WatchLink(loop, this, Address.of(e.address()), e.version());
+            watch.connect(sockets);
+        } else if (effect instanceof Effect.CloseWatch) {
+            WatchLink last = watch;
+            watch = null;
+            if (last != null) {
+                last.close();
+            }
+        } else if (effect instanceof Effect.Tell e) {
+            if (siblings != null) {
+                siblings.tell(e.sibling(), e.message());
+            }
+        } else if (effect instanceof Effect.LeaveSiblings) {
+            if (siblings != null) {
+                siblings.close();
+                siblings = null;
+            }
+        } else if (effect instanceof Effect.Probe e) {
+            ProbeLink probe = new ProbeLink(this, e.peer(), e.address(), operator.probe().path());
+            probes.put(e.peer(), probe);
+            probe.connect(sockets);
+        } else if (effect instanceof Effect.EndProbe e) {
+            ProbeLink probe = probes.remove(e.peer());
+            if (probe != null) {
+                probe.close();
+            }
+        }
+    }
+
+    /** A probe has come to its end by itself. */
+    void probed(ProbeLink probe, boolean well, String reason) {
+        if (probes.remove(probe.peer(), probe)) {
+            probe.close();
+            loop.post(new Event.Probed(probe.peer(), well, reason));
+        }
+    }
+
+    /** A peer connection ended by itself. */
+    void closed(PeerLink link) {
+        if (peers.remove(link.id(), link)) {
+            loop.post(new Event.PeerClosed(link.id()));
+        }
+    }
+
+    /** Whether this is the watch that counts: one that was given up may still have words in its buffers. */
+    boolean current(WatchLink link) {
+        return watch == link;
+    }
+
+    void closed(WatchLink link, String why) {
+        if (watch == link) {
+            watch = null;
+            loop.post(new Event.WatchEnded(why));
+        }
+    }
+
+    /** {@code shared}: another process of this dispatcher may listen there too; each sibling's words reach one of them. */
+    void openSiblings(boolean shared) {
+        if (config.siblingListen() == null) {
+            return;
+        }
+        try {
+            DatagramChannel channel = DatagramChannel.open();
+            if (shared) {
+                channel.setOption(StandardSocketOptions.SO_REUSEPORT, true);
+            }
+            channel.bind(config.siblingListen());
+            channel.configureBlocking(false);
+            sockets.accept(channel, new Sockets.Opening() {
+                @Override
+                public Connection opened(EndPoint endPoint) {
+                    siblings = new SiblingConnection(endPoint, loop, config.siblings());
+                    return siblings;
+                }
+
+                @Override
+                public void failed(Throwable why) {
+                    EventLog.log(LogEvent.SIBLINGS_LOST, Address.text(config.siblingListen()), why);
+                }
+            });
+        } catch (IOException e) {
+            // words between siblings may be lost at any time: the program serves without them
+            EventLog.log(LogEvent.SIBLINGS_LOST, Address.text(config.siblingListen()), e);
+        }
+    }
+}
--- a/src/main/java/granitefold/net/Loop.java
+++ b/src/main/java/granitefold/net/Loop.java
@@ -6,6 +6,7 @@
 import granitefold.core.Reducer;
 import granitefold.availability.AvailabilitySettings;
 import granitefold.availability.Wish;
+import granitefold.figures.Figures;
 import granitefold.logging.EventLog;
 import granitefold.logging.LogEvent;
 import granitefold.operator.Operator;
@@ -18,7 +19,6 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
-import java.nio.channels.DatagramChannel;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.nio.file.Path;
@@ -43,6 +43,8 @@
      * clients that is still to be counted, and for what is closed already but held until the next select.
      */
     private static final int RESERVED = 48;
+    /** What {@link granitefold.net.checks.Ops} may hold at the most: 12 connections, and its own. */
+    public static final int OPS_DESCRIPTORS = 20;
     /** Client connections that may be open beside those that are owed an answer. */
     private static final int SPARE = 16;
     /** Bytes of requests held at once, as a share of the heap: with their copies on the way, well within it. */
@@ -54,13 +56,9 @@
     private final Reducer reducer;
     private final ArrayDeque<Event> events = new ArrayDeque<>();
     private final Map<Long, ClientConnection> clients = new HashMap<>();
-    private final Map<Long, PeerLink> peers = new HashMap<>();
-    private final Map<Long, ProbeLink> probes = new HashMap<>(0);
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final long heldMost = Runtime.getRuntime().maxMemory() / HELD_SHARE;
     private ServerSocketChannel listener;
-    private SiblingConnection siblings;
-    private WatchLink watch;
     private boolean reducing;
     private boolean stopping;
     private long wakeAt = Long.MAX_VALUE;
@@ -70,6 +68,10 @@
     private final Insight insight;
     private final Operator operator;
     private Consumer<Learned> keeper;
+    private final Links links;
+    /** The other processes that serve at our address; null where nobody may start one. */
+    private final Company company;
+    private volatile Figures figures;
 
     /** As the platform starts it. */
     public Loop(Config config) {
@@ -84,28 +86,33 @@
             EventLog.log(LogEvent.PROBES_OFF, "the platform's settings forbid them");
         }
         // a request holds a connection on either side
-        int checks = operator.descriptors();
-        if (checks > config.sockets() / 4) {
-            throw new BadWire("checks may hold " + checks + " descriptors, more than a quarter of limits.sockets, "
+        boolean ops = config.ops() != null;
+        links = new Links(this, sockets, config, operator);
+        company = ops ? Company.at(config.listen()) : null;
+        int checks = operator.descriptors() + (ops ? OPS_DESCRIPTORS : 0);
+        if (operator.descriptors() > config.sockets() / 4) {
+            throw new BadWire("checks may hold " + operator.descriptors() + " descriptors, more than a quarter of limits.sockets, "
                     + config.sockets());
         }
         int each = Math.max(SPARE + 1, (config.sockets() - RESERVED - checks) / 2);
         reducer = new Reducer(config.words().settings(), new Reducer.Bounds(each, each - SPARE, each,
-                config.connectTimeoutUs(), config.idleCloseUs()), config.seed(), operator.extras(config.probing()));
+                config.connectTimeoutUs(), config.idleCloseUs()), config.seed(), operator.extras(config.probing()).withFigures(ops));
     }
 
     /** Opens the sockets and begins; from the main thread. */
     public void start() throws Exception {
         listener = ServerSocketChannel.open();
         listener.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+        if (company != null) {
+            // the next version starts beside this one, on the same address
+            listener.setOption(StandardSocketOptions.SO_REUSEPORT, true);
+        }
         listener.bind(config.listen(), BACKLOG);
         listener.configureBlocking(false);
         EventLog.log(LogEvent.LISTENING, Address.text(address()));
         sockets.start();
         sockets.submit(() -> {
-            if (config.siblingListen() != null) {
-                openSiblings();
-            }
+            links.openSiblings(company != null);
             post(new Event.Opened(config.known(), Address.text(config.discovery())));
             sockets.listen(listener, this::accepted);
         });
@@ -132,7 +139,11 @@
 
     /** Tells the reducer that the program is to end, and waits until it has; from a shutdown hook. */
     public void terminate(long mostMs) throws InterruptedException {
-        sockets.submit(() -> post(new Event.Terminated()));
+        boolean relieved = company != null && company.others();
+        if (relieved) {
+            EventLog.log(LogEvent.RELIEVED, Address.text(config.listen()));
+        }
+        sockets.submit(() -> post(new Event.Terminated(relieved)));
         stopped.await(mostMs, TimeUnit.MILLISECONDS);
     }
 
@@ -150,6 +161,11 @@
         sockets.submit(() -> post(new Event.Recovered(learned)));
     }
 
+    /** What the process has done and how it stands; null before the first. From any thread. */
+    public Figures figures() {
+        return figures;
+    }
+
     /** How the dispatcher stands, readable from any thread; null where nothing tells it. */
     public Insight insight() {
         return insight;
@@ -168,6 +184,11 @@
         sockets.submit(() -> post(new Event.Retuned(availability)));
     }
 
+    /** The phase's name; from any thread, as it was at some moment lately. */
+    public String standing() {
+        return reducer.phase().name();
+    }
+
     Operator.Clients clientRules() {
         return operator.clients();
     }
@@ -254,72 +275,33 @@
             if (client != null) {
                 client.closeUnlessOwed();
             }
-        } else if (effect instanceof Effect.Connect e) {
-            PeerLink link = new PeerLink(this, e.connection(), e.address());
-            peers.put(e.connection(), link);
-            link.connect(sockets);
-        } else if (effect instanceof Effect.SendRequest e) {
-            PeerLink link = peers.get(e.connection());
-            if (link != null) {
-                // else it has just closed by itself, which the reducer hears next
-                link.send(e.payload(), e.waitUs());
-            }
-        } else if (effect instanceof Effect.Look e) {
-            sockets.afterLook(() -> post(new Event.Looked(e.connection())));
-        } else if (effect instanceof Effect.ClosePeer e) {
-            PeerLink link = peers.remove(e.connection());
-            if (link != null) {
-                link.close();
-            }
-        } else if (effect instanceof Effect.OpenWatch e) {
-            watch = new WatchLink(this, Address.of(e.address()), e.version());
-            watch.connect(sockets);
-        } else if (effect instanceof Effect.CloseWatch) {
-            WatchLink last = watch;
-            watch = null;
-            if (last != null) {
-                last.close();
-            }
-        } else if (effect instanceof Effect.Tell e) {
-            if (siblings != null) {
-                siblings.tell(e.sibling(), e.message());
-            }
         } else if (effect instanceof Effect.WakeAt e) {
             wakeAt = e.at();
         } else if (effect instanceof Effect.StopListening) {
-            stopListening();
+            sockets.unlisten(listener, this::accepted);
+        } else if (effect instanceof Effect.CloseIdle) {
+            for (ClientConnection client : clients.values().toArray(ClientConnection[]::new)) {
+                client.closeIfIdle();
+            }
         } else if (effect instanceof Effect.Stop) {
             stopping = true;
             answered();
         } else if (effect instanceof Effect.Sample) {
-            post(new Event.Sampled(insight.sample((double) (clients.size() + peers.size() + RESERVED)
+            post(new Event.Sampled(insight.sample((double) (clients.size() + links.size() + RESERVED)
                     / config.sockets())));
         } else if (effect instanceof Effect.Keep e) {
             keeper.accept(e.learned());
         } else if (effect instanceof Effect.Publish e) {
             insight.publish(e.report());
-        } else if (effect instanceof Effect.Probe e) {
-            ProbeLink probe = new ProbeLink(this, e.peer(), e.address(), operator.probe().path());
-            probes.put(e.peer(), probe);
-            probe.connect(sockets);
-        } else if (effect instanceof Effect.EndProbe e) {
-            ProbeLink probe = probes.remove(e.peer());
-            if (probe != null) {
-                probe.close();
+        } else if (effect instanceof Effect.Count e) {
+            figures = e.figures();
+            if (company != null && figures.serves()) {
+                company.enter();
             }
         } else if (effect instanceof Effect.Log e) {
             EventLog.log(e.event(), e.values());
-        }
-    }
-
-    private void stopListening() {
-        try {
-            listener.close();
-        } catch (IOException e) {
-            EventLog.error(LogEvent.INTERNAL_ERROR, e, "listener");
-        }
-        for (ClientConnection client : clients.values().toArray(ClientConnection[]::new)) {
-            client.closeIfIdle();
+        } else {
+            links.perform(effect);
         }
     }
 
@@ -363,55 +345,4 @@
             post(new Event.ClientClosed(client.id()));
         }
     }
-
-    // ---------------------------------------------------------------- peers, discovery, siblings
-    /** A probe has come to its end by itself. */
-    void probed(ProbeLink probe, boolean well, String reason) {
-        if (probes.remove(probe.peer(), probe)) {
-            probe.close();
-            post(new Event.Probed(probe.peer(), well, reason));
-        }
-    }
-
-    /** A peer connection ended by itself. */
-    void closed(PeerLink link) {
-        if (peers.remove(link.id(), link)) {
-            post(new Event.PeerClosed(link.id()));
-        }
-    }
-
-    /** Whether this is the watch that counts: one that was given up may still have words in its buffers. */
-    boolean current(WatchLink link) {
-        return watch == link;
-    }
-
-    void closed(WatchLink link, String why) {
-        if (watch == link) {
-            watch = null;
-            post(new Event.WatchEnded(why));
-        }
-    }
-
-    private void openSiblings() {
-        try {
-            DatagramChannel channel = DatagramChannel.open();
-            channel.bind(config.siblingListen());
-            channel.configureBlocking(false);
-            sockets.accept(channel, new Sockets.Opening() {
-                @Override
-                public Connection opened(EndPoint endPoint) {
-                    siblings = new SiblingConnection(endPoint, Loop.this, config.siblings());
-                    return siblings;
-                }
-
-                @Override
-                public void failed(Throwable why) {
-                    EventLog.log(LogEvent.SIBLINGS_LOST, Address.text(config.siblingListen()), why);
-                }
-            });
-        } catch (IOException e) {
-            // words between siblings may be lost at any time: the program serves without them
-            EventLog.log(LogEvent.SIBLINGS_LOST, Address.text(config.siblingListen()), e);
-        }
-    }
 }
--- a/src/main/java/granitefold/net/PeerLink.java
+++ b/src/main/java/granitefold/net/PeerLink.java
@@ -15,13 +15,15 @@
     private static final int LINE_MOST = 512 * 1024;
 
     private final Loop loop;
+    private final Links links;
     private final long id;
     private final String address;
     private String txn;
 
-    PeerLink(Loop loop, long id, String address) {
+    PeerLink(Loop loop, Links links, long id, String address) {
         super(Address.of(address), LINE_MOST);
         this.loop = loop;
+        this.links = links;
         this.id = id;
         this.address = address;
     }
@@ -70,6 +72,6 @@
 
     @Override
     void ended(String why) {
-        loop.closed(this);
+        links.closed(this);
     }
 }
--- a/src/main/java/granitefold/net/ProbeLink.java
+++ b/src/main/java/granitefold/net/ProbeLink.java
@@ -7,14 +7,14 @@
 final class ProbeLink extends Link {
     private static final int LINE_MOST = 4096;
 
-    private final Loop loop;
+    private final Links links;
     private final long peer;
     private final String address;
     private final String path;
 
-    ProbeLink(Loop loop, long peer, String address, String path) {
+    ProbeLink(Links links, long peer, String address, String path) {
         super(Address.of(address), LINE_MOST);
-        this.loop = loop;
+        this.links = links;
         this.peer = peer;
         this.address = address;
         this.path = path;
@@ -31,7 +31,7 @@
 
     @Override
     void status(int status, String turnedAway) {
-        loop.probed(this, status == 200, "its probe was answered by " + status);
+        links.probed(this, status == 200, "its probe was answered by " + status);
     }
 
     @Override
@@ -42,6 +42,6 @@
 
     @Override
     void ended(String why) {
-        loop.probed(this, false, "its probe ended: " + why);
+        links.probed(this, false, "its probe ended: " + why);
     }
 }
--- a/src/main/java/granitefold/net/Sockets.java
+++ b/src/main/java/granitefold/net/Sockets.java
@@ -80,6 +80,36 @@
         });
     }
 
+    /**
+     * Takes from a listener what has connected by now, then closes it: the kernel resets what it finds in the queue of one
+     * that closes. A channel that a selector knows closes only with its next select, when more may have come, so it is
+     * taken from the selector first. On the selector's thread.
+     */
+    void unlisten(ServerSocketChannel listener, Taking taking) {
+        ManagedSelector selector = chooseSelector();
+        selector.submit(s -> {
+            SelectionKey key = listener.keyFor(s);
+            if (key != null) {
+                key.cancel();
+            }
+            closeUnregistered(listener, taking);
+        });
+    }
+
+    private void closeUnregistered(ServerSocketChannel listener, Taking taking) {
+        if (listener.isRegistered()) {
+            submit(() -> closeUnregistered(listener, taking));
+            return;
+        }
+        try (listener) {
+            for (SocketChannel channel = listener.accept(); channel != null; channel = listener.accept()) {
+                taking.take(channel);
+            }
+        } catch (IOException e) {
+            // the client has gone again; what the others have is the same
+        }
+    }
+
     /** Stops or goes on taking connections from a listener; on the selector's thread. */
     public void pause(ServerSocketChannel listener, boolean on) {
         chooseSelector().submit(selector -> {
--- a/src/main/java/granitefold/net/WatchLink.java
+++ b/src/main/java/granitefold/net/WatchLink.java
@@ -12,12 +12,14 @@
     private static final int LINE_MOST = 4 * 1024 * 1024;
 
     private final Loop loop;
+    private final Links links;
     private final InetSocketAddress discovery;
     private final long version;
 
-    WatchLink(Loop loop, InetSocketAddress discovery, long version) {
+    WatchLink(Loop loop, Links links, InetSocketAddress discovery, long version) {
         super(discovery, LINE_MOST);
         this.loop = loop;
+        this.links = links;
         this.discovery = discovery;
         this.version = version;
     }
@@ -36,7 +38,7 @@
 
     @Override
     void line(byte[] buf, int from, int length) {
-        if (!loop.current(this)) {
+        if (!links.current(this)) {
             return;
         }
         try {
@@ -53,6 +55,6 @@
 
     @Override
     void ended(String why) {
-        loop.closed(this, why);
+        links.closed(this, why);
     }
 }
--- a/src/main/java/granitefold/net/checks/Checks.java
+++ b/src/main/java/granitefold/net/checks/Checks.java
@@ -81,7 +81,7 @@
         http = httpListener == null ? null : http(httpListener, operator.http());
         if (socket != null) {
             control = new Front("control", socket.listener, CONTROL, sockets, this::stir,
-                    (e, f) -> new ControlConnection(e, f, this::command));
+                    (e, f) -> new LineConnection(e, f, this::command));
             control.begin();
             EventLog.log(LogEvent.CHECKS_LISTENING, "control", operator.control().socket());
         }
--- a/src/main/java/granitefold/net/checks/ControlConnection.java
+++ b/src/main/java/granitefold/net/checks/LineConnection.java
@@ -7,7 +7,7 @@
 import org.eclipse.jetty.io.EndPoint;
 
 /** One command, a line, and its answer, a line; then it ends. */
-final class ControlConnection extends CheckConnection {
+final class LineConnection extends CheckConnection {
     private static final int LINE_MOST = 64;
 
     private final BiConsumer<String, Consumer<byte[]>> commands;
@@ -15,7 +15,7 @@
     private boolean asked;
 
     /** {@code commands} takes a line and, later and on this thread, gives back the answer. */
-    ControlConnection(EndPoint endPoint, Front front, BiConsumer<String, Consumer<byte[]>> commands) {
+    LineConnection(EndPoint endPoint, Front front, BiConsumer<String, Consumer<byte[]>> commands) {
         super(endPoint, front);
         this.commands = commands;
     }
--- /dev/null
+++ b/src/main/java/granitefold/net/checks/Ops.java
@@ -0,0 +1,97 @@
+package granitefold.net.checks;
+
+import granitefold.figures.Figures;
+import granitefold.logging.EventLog;
+import granitefold.logging.LogEvent;
+import granitefold.net.Loop;
+import granitefold.net.Sockets;
+import granitefold.operator.Operator;
+import granitefold.wire.Address;
+import granitefold.wire.BadWire;
+import granitefold.wire.FiguresJson;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.function.Consumer;
+
+/**
+ * The second address, where staff and the platform ask how this process stands: a line in, an answer out. It has a thread
+ * of its own and reads what the loop last published, so that neither a busy loop nor a crowd of clients delays it.
+ */
+public final class Ops implements Sockets.Host {
+    /** Callers who say nothing give way to new ones, so few places are enough. */
+    private static final int CONNECTIONS = Loop.OPS_DESCRIPTORS - 8, PER_S = 1000, BACKLOG = 256;
+    private static final long LIFE_US = 2_500_000;
+    private static final long SWEEP_MS = 20, IDLE_MS = 1000;
+
+    private final InetSocketAddress address;
+    private final Loop loop;
+    private final List<String> classes;
+    private final Sockets sockets = new Sockets("ops", this);
+    private Front front;
+    private long sweepAt = System.nanoTime();
+
+    /** {@code classes}: their names, in the order of the settings. */
+    public Ops(InetSocketAddress address, Loop loop, List<String> classes) {
+        this.address = address;
+        this.loop = loop;
+        this.classes = classes;
+    }
+
+    /** Opens the address; one that can't be had is told by {@link BadWire}. Returns where it listens. */
+    public InetSocketAddress start() throws Exception {
+        ServerSocketChannel listener = ServerSocketChannel.open();
+        InetSocketAddress bound;
+        try {
+            listener.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+            listener.bind(address, BACKLOG);
+            listener.configureBlocking(false);
+            bound = (InetSocketAddress) listener.getLocalAddress();
+        } catch (IOException e) {
+            listener.close();
+            throw new BadWire("ops: cannot listen on " + Address.text(address) + ": " + e.getMessage());
+        }
+        sockets.start();
+        front = new Front("ops", listener, new Operator.Bounds(CONNECTIONS, PER_S, LIFE_US), sockets, this::stir,
+                (e, f) -> new LineConnection(e, f, this::answer));
+        front.begin();
+        EventLog.log(LogEvent.CHECKS_LISTENING, "ops", Address.text(bound));
+        return bound;
+    }
+
+    private void answer(String call, Consumer<byte[]> answer) {
+        Figures f = loop.figures();
+        switch (call) {
+            case "check" -> answer.accept(text(f == null ? "NAK starting" : f.serves() ? "ACK" : "NAK " + loop.standing()));
+            case "vars" -> answer.accept(f == null ? text("NAK starting") : vars(f));
+            default -> answer.accept(text("NAK known are check and vars"));
+        }
+    }
+
+    private byte[] vars(Figures f) {
+        return text(new String(FiguresJson.encode(f, classes), StandardCharsets.UTF_8) + "\n--");
+    }
+
+    private static byte[] text(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    @Override
+    public long untilWake() {
+        return Math.max(0, (sweepAt - System.nanoTime() + 999_999) / 1_000_000);
+    }
+
+    @Override
+    public void wake() {
+        if (untilWake() <= 0) {
+            sweepAt = System.nanoTime() + (front != null && front.sweep() ? SWEEP_MS : IDLE_MS) * 1_000_000;
+        }
+    }
+
+    private void stir() {
+        sweepAt = Math.min(sweepAt, System.nanoTime() + SWEEP_MS * 1_000_000);
+    }
+}
--- a/src/main/java/granitefold/operator/Operator.java
+++ b/src/main/java/granitefold/operator/Operator.java
@@ -79,6 +79,6 @@
                     h.ejectShare());
         }
         return new Extras(tells() ? availability : null, h,
-                state == null ? null : new Extras.Memory(state.everyUs(), AgeingSettings.DEFAULTS));
+                state == null ? null : new Extras.Memory(state.everyUs(), AgeingSettings.DEFAULTS), false);
     }
 }
--- a/src/main/java/granitefold/standin/Fleet.java
+++ b/src/main/java/granitefold/standin/Fleet.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -27,12 +28,15 @@
         private final String operator;
         private final String known;
         private Process process;
+        private final List<Process> processes = new ArrayList<>();
         private Path log;
         private int lives;
         /** After a restart it must be found where it was. */
         private int port;
         private int agentPort;
         private int httpPort;
+        /** Of the present life's second address; 0 where it has none. */
+        private int opsPort;
 
         private Dispatcher(String name, String operator, String known) {
             this.name = name;
@@ -42,21 +46,76 @@
 
         /** Starts it, for the first time or again at the same addresses. */
         public void start() throws IOException, InterruptedException {
-            Path config = folder.resolve(name + ".json");
             Path file = folder.resolve(name + ".conf");
-            log = folder.resolve(name + "-" + lives++ + ".log");
-            Files.writeString(config, config());
             Files.writeString(file, "checks.agent.listen = \"127.0.0.1:" + agentPort + "\"\nchecks.http.listen = \"127.0.0.1:"
                     + httpPort + "\"\ncontrol.socket = \"" + socket() + "\"\n" + operator);
-            process = new ProcessBuilder("java", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx96m", "-Xss512k",
-                    "-jar", Path.of("target/granitefold.jar").toString(), "serve", "--config", config.toString(), "--operator",
-                    file.toString()).redirectErrorStream(true).redirectOutput(log.toFile()).start();
-            process.onExit();
+            launch("", "--operator", file.toString());
             agentPort = portIn("checks: agent on ");
             httpPort = portIn("checks: http on ");
             port = portIn("listening on ");
         }
 
+        /**
+         * Starts it so that another version may be started beside it, with a second address; or starts that other one
+         * beside the process that runs. Returns the process before, null where there was none.
+         */
+        public Process startBeside() throws IOException, InterruptedException {
+            Process before = process;
+            if (port == 0) {
+                // both have to be told the same address
+                try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+                    port = free.getLocalPort();
+                }
+            }
+            launch("\"ops\":\"127.0.0.1:0\",");
+            opsPort = portIn("checks: ops on ");
+            return before;
+        }
+
+        private void launch(String fields, String... arguments) throws IOException {
+            Path config = folder.resolve(name + "-" + lives + ".json");
+            log = folder.resolve(name + "-" + lives++ + ".log");
+            Files.writeString(config, config().replaceFirst("\\{", "{" + fields));
+            List<String> line = new ArrayList<>(List.of("java", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx96m", "-Xss512k",
+                    "-jar", Path.of("target/granitefold.jar").toString(), "serve", "--config", config.toString()));
+            line.addAll(List.of(arguments));
+            ProcessBuilder b = new ProcessBuilder(line).redirectErrorStream(true).redirectOutput(log.toFile());
+            b.environment().put("TMPDIR", folder.toString());
+            process = b.start();
+            process.onExit();
+            processes.add(process);
+        }
+
+        /** Asks at the second address; the answer's lines. */
+        public List<String> ask(String call) throws IOException {
+            try (Exchange e = Exchange.open(new InetSocketAddress(InetAddress.getLoopbackAddress(), opsPort),
+                    (int) TimeUnit.SECONDS.toMillis(PATIENCE_S))) {
+                e.write(call + "\n");
+                return e.rest().lines().toList();
+            }
+        }
+
+        /** Waits until the present life says at its second address that it can serve. */
+        public void awaitYes() throws IOException, InterruptedException {
+            long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_S);
+            while (!ask("check").get(0).startsWith("ACK")) {
+                if (System.nanoTime() - until > 0) {
+                    throw new IllegalStateException(name + " does not come to serve:\n" + Files.readString(log));
+                }
+                Thread.sleep(5);
+            }
+        }
+
+        /** Where clients connect. */
+        public InetSocketAddress address() {
+            return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+        }
+
+        /** Where the second address is; for those who say nothing there. */
+        public InetSocketAddress ops() {
+            return new InetSocketAddress(InetAddress.getLoopbackAddress(), opsPort);
+        }
+
         private String config() {
             return "{\"name\":\"" + name + "\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"" + discovery.address()
                     + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},"
@@ -132,9 +191,7 @@
 
         @Override
         public void close() {
-            if (process != null) {
-                process.destroyForcibly();
-            }
+            processes.forEach(Process::destroyForcibly);
         }
     }
 
--- /dev/null
+++ b/src/main/java/granitefold/standin/KeptClients.java
@@ -0,0 +1,145 @@
+package granitefold.standin;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Clients that each send one request after the other, on a connection that they keep for as long as it is kept, or on a
+ * new one each. What a dispatcher turned back unheard they count, and send once more on a new connection.
+ */
+public final class KeptClients implements Closeable {
+    private static final int PATIENCE_MS = 20_000;
+
+    /** What became of a request, or of one sending of it. */
+    public enum End {
+        SERVED, REJECTED, FAILED,
+        /** No connection was to be had. */
+        REFUSED,
+        /** The connection ended with no byte of an answer. */
+        UNHEARD,
+        /** The answer broke off. */
+        CUT
+    }
+
+    private final InetSocketAddress to;
+    private final String name;
+    private final long workUs;
+    private final boolean keeps;
+    private final Map<End, AtomicLong> ends = new EnumMap<>(End.class);
+    private final AtomicLong asked = new AtomicLong();
+    private final CountDownLatch over;
+    private volatile boolean stopped;
+
+    /** So many clients from now on, with requests of so much work each; {@code keeps}: connections. */
+    public KeptClients(String name, InetSocketAddress to, int clients, long workUs, boolean keeps) {
+        this.name = name;
+        this.to = to;
+        this.workUs = workUs;
+        this.keeps = keeps;
+        for (End e : End.values()) {
+            ends.put(e, new AtomicLong());
+        }
+        over = new CountDownLatch(clients);
+        for (int i = 0; i < clients; i++) {
+            int number = i;
+            Server.daemon(() -> run(number), "client");
+        }
+    }
+
+    private void run(int number) {
+        Exchange e = null;
+        try {
+            for (long i = 0; !stopped; i++) {
+                String id = name + "-" + number + "-" + i;
+                asked.incrementAndGet();
+                End end = End.UNHEARD;
+                for (int sent = 0; sent < 2 && (end == End.UNHEARD || end == End.REFUSED); sent++) {
+                    if (e == null) {
+                        e = open();
+                    }
+                    end = e == null ? End.REFUSED : send(e, id + "-" + sent);
+                    ends.get(end).incrementAndGet();
+                    if (e != null && (!keeps || end.compareTo(End.FAILED) > 0 || "close".equals(e.head.get("connection")))) {
+                        e.close();
+                        e = null;
+                    }
+                }
+            }
+        } catch (IOException broken) {
+            // closing one's own side cannot fail in a way that matters
+        } finally {
+            over.countDown();
+        }
+    }
+
+    private Exchange open() throws IOException {
+        try {
+            return Exchange.open(to, PATIENCE_MS);
+        } catch (ConnectException e) {
+            return null;
+        }
+    }
+
+    private End send(Exchange e, String id) {
+        try {
+            e.head = Map.of();
+            e.write("POST /ficha?sid=1 HTTP/1.1\r\nHost: x\r\nX-Txn: " + id + "\r\nX-Org: acme\r\nX-Remaining-Ms: 5000\r\n"
+                    + "X-Estimate: " + workUs + "\r\nContent-Length: 4\r\n\r\nsoup");
+            if (!e.read()) {
+                return End.UNHEARD;
+            }
+            return e.status() == 200 ? End.SERVED : e.status() == 503 || e.status() == 429 ? End.REJECTED : End.FAILED;
+        } catch (IOException broken) {
+            return e.begun ? End.CUT : End.UNHEARD;
+        }
+    }
+
+    /** Requests begun so far, each counted once however often it was sent. */
+    public long asked() {
+        return asked.get();
+    }
+
+    public long count(End end) {
+        return ends.get(end).get();
+    }
+
+    /** Waits until so many requests were served. */
+    public void awaitServed(long count) throws InterruptedException {
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PATIENCE_MS);
+        while (count(End.SERVED) < count) {
+            if (System.nanoTime() - until > 0) {
+                throw new IllegalStateException("only " + this);
+            }
+            Thread.sleep(5);
+        }
+    }
+
+    /** Ends with the requests that are out, and waits for them. */
+    public void stop() throws InterruptedException {
+        stopped = true;
+        if (!over.await(PATIENCE_MS, TimeUnit.MILLISECONDS)) {
+            throw new IllegalStateException("a client still waits for its answer: " + this);
+        }
+    }
+
+    @Override
+    public void close() {
+        stopped = true;
+    }
+
+    @Override
+    public String toString() {
+        List<String> all = new ArrayList<>(List.of("asked " + asked()));
+        ends.forEach((e, n) -> all.add(e + " " + n));
+        return String.join(", ", all);
+    }
+}
--- a/src/main/java/granitefold/wire/Config.java
+++ b/src/main/java/granitefold/wire/Config.java
@@ -15,14 +15,19 @@
 import java.util.List;
 import java.util.Map;
 
-/** What a dispatcher is told at its start. {@code siblingListen} is null where there are no datagrams. */
+/**
+ * What a dispatcher is told at its start. {@code siblingListen} is null where there are no datagrams, {@code ops} where
+ * nobody asks how the process stands.
+ */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
         InetSocketAddress siblingListen, List<InetSocketAddress> siblings, PeerList known, Vocabulary words,
         long connectTimeoutUs, long idleCloseUs, double cores,
-        boolean probing) {
+        boolean probing, InetSocketAddress ops) {
 
     private static final JsonFactory JSON = new JsonFactory();
     private static final int SOCKETS_UNTOLD = 1024;
+    /** The second address, where the file does not name it. */
+    private static final String OPS = "LB_OPS";
 
     /** What places in the settings stand for, for a state file. */
     public Places places() {
@@ -35,6 +40,7 @@
         Map<String, String> all = new LinkedHashMap<>();
         all.put("name", name);
         all.put("listen", Address.text(listen));
+        all.put("ops", ops == null ? "off" : Address.text(ops));
         all.put("discovery", Address.text(discovery));
         all.put("limits.sockets", Integer.toString(sockets));
         all.put("limits.cores", Double.toString(cores));
@@ -114,10 +120,12 @@
         long seed = 0;
         int sockets = SOCKETS_UNTOLD;
         double cores = 1;
+        InetSocketAddress ops = System.getenv(OPS) == null || System.getenv(OPS).isEmpty() ? null : ops(System.getenv(OPS));
         for (String key = first(p); key != null; key = next(p)) {
             switch (key) {
                 case "name" -> name = p.getValueAsString("");
                 case "listen" -> listen = Address.of(p.getValueAsString(""));
+                case "ops" -> ops = p.currentToken() == JsonToken.VALUE_NULL ? ops : Address.of(p.getValueAsString(""));
                 case "discovery" -> discovery = Address.of(p.getValueAsString(""));
                 case "seed" -> seed = seed(p.getValueAsString(""));
                 case "peer_listen" -> siblingListen = p.currentToken() == JsonToken.VALUE_NULL ? null
@@ -147,7 +155,15 @@
         }
         return new Config(name, listen, discovery, seed, sockets, words.settings().limits().peers() ? siblingListen
                 : null, List.copyOf(siblings), known, words, setup.connectTimeoutUs(), setup.idleCloseUs(), cores > 0 ? cores : 1,
-                setup.probing());
+                setup.probing(), ops);
+    }
+
+    private static InetSocketAddress ops(String text) {
+        try {
+            return Address.of(text);
+        } catch (BadWire e) {
+            throw new BadWire("$" + OPS + ": " + e.getMessage());
+        }
     }
 
     private static long seed(String hex) {
--- a/src/main/java/granitefold/wire/Vocabulary.java
+++ b/src/main/java/granitefold/wire/Vocabulary.java
@@ -21,6 +21,11 @@
         return places.entrySet().stream().sorted(Map.Entry.comparingByValue()).map(Map.Entry::getKey).toList();
     }
 
+    /** The classes' names in the order of the settings. */
+    public List<String> classNames() {
+        return names(classes);
+    }
+
     boolean keyed(int jobClass) {
         return settings.classes().get(jobClass).effect() == Effect.KEYED;
     }
--- a/src/test/java/granitefold/core/ReducerTest.java
+++ b/src/test/java/granitefold/core/ReducerTest.java
@@ -107,7 +107,7 @@
         if (company) {
             play(new Event.SiblingSaid(0, new byte[0]));
         }
-        play(new Event.Terminated());
+        play(new Event.Terminated(false));
         now += Reducer.HAND_OVER_US;
         play(new Event.Woken());
         boolean early = !all(Effect.StopListening.class).isEmpty();
--- /dev/null
+++ b/src/test/java/granitefold/real/OpsIT.java
@@ -0,0 +1,115 @@
+package granitefold.real;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import granitefold.standin.Fleet;
+import granitefold.standin.KeptClients;
+import granitefold.standin.KeptClients.End;
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** The second address, as staff and the platform use it, and as nobody should. */
+public final class OpsIT {
+    /** What an answer may take: the operators' figure. */
+    private static final long DUE_NS = TimeUnit.SECONDS.toNanos(1);
+
+    private final List<Closeable> opened = new ArrayList<>();
+    private Fleet fleet;
+    private Fleet.Dispatcher d;
+
+    @BeforeMethod
+    public void start() throws Exception {
+        fleet = new Fleet(3, 8);
+        d = fleet.dispatcher("", fleet.discovery.list(null));
+        d.startBeside();
+        d.awaitYes();
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void close() throws IOException {
+        for (Closeable c : opened) {
+            c.close();
+        }
+        opened.clear();
+        fleet.close();
+    }
+
+    private Socket open(InetSocketAddress to, String text) throws IOException {
+        Socket s = new Socket();
+        opened.add(s);
+        s.connect(to, 10_000);
+        s.getOutputStream().write(text.getBytes());
+        return s;
+    }
+
+    /** The answer, in the time it is due in. */
+    private List<String> ask(String call) throws IOException {
+        long at = System.nanoTime();
+        List<String> lines = d.ask(call);
+        assertTrue(System.nanoTime() - at < DUE_NS, call + " took " + (System.nanoTime() - at) / 1_000_000 + " ms");
+        return lines;
+    }
+
+    private JsonNode vars() throws IOException {
+        List<String> lines = ask("vars");
+        assertEquals(lines.size(), 2, lines.toString());
+        assertEquals(lines.get(1), "--");
+        return new ObjectMapper().readTree(lines.get(0));
+    }
+
+    @Test
+    public void callsAreAnsweredAndOthersTurnedAway() throws Exception {
+        assertEquals(ask("check"), List.of("ACK"));
+        assertEquals(vars().get("targets").asInt(), 3);
+        for (String call : List.of("", "chec", "check vars", "x".repeat(1_000_000), "\u0000\u0001")) {
+            assertTrue(ask(call).get(0).startsWith("NAK"), call.length() + " characters");
+        }
+        assertEquals(ask("check\r"), List.of("ACK"), "a terminal's line end is one too");
+    }
+
+    /** Silent callers, and a crowd at the clients' address, cost the answers nothing; the figures stay true meanwhile. */
+    @Test
+    public void figuresAreTrueUnderACrowd() throws Exception {
+        for (int i = 0; i < 100; i++) {
+            open(d.ops(), i % 2 == 0 ? "" : "che");
+        }
+        try (KeptClients clients = new KeptClients("c", d.address(), 8, 20_000, true)) {
+            for (int i = 0; i < 2_000; i++) {
+                open(d.address(), i % 3 == 0 ? "POST /ficha HTTP/1.1\r\nHost:" : "");
+                if (i % 100 == 0) {
+                    assertEquals(ask("check"), List.of("ACK"));
+                    open(d.ops(), "va");
+                    JsonNode during = vars();
+                    long served = clients.count(End.SERVED);
+                    long success = during.get("replies").get("ficha").get("success").asLong();
+                    assertTrue(success <= served + 3 + 8, success + " counted, " + served + " had");
+                }
+            }
+            clients.awaitServed(clients.count(End.SERVED) + 100);
+            clients.stop();
+            JsonNode all = vars();
+            for (int i = 0; i < 100 && all.get("replies").get("ficha").get("success").asLong() < clients.count(End.SERVED); i++) {
+                // the figures may lag by half a second
+                all = vars();
+                Thread.sleep(5);
+            }
+            JsonNode ficha = all.get("replies").get("ficha");
+            assertEquals(ficha.get("success").asLong(), clients.count(End.SERVED), clients.toString());
+            assertEquals(ficha.get("overload").asLong(), clients.count(End.REJECTED), clients.toString());
+            assertEquals(ficha.get("error").asLong(), clients.count(End.FAILED), clients.toString());
+            assertEquals(all.get("concurrent").asLong(), 0);
+            assertTrue(all.get("dispatches").asLong() >= ficha.get("success").asLong());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/granitefold/real/UpgradeIT.java
@@ -0,0 +1,102 @@
+package granitefold.real;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import granitefold.standin.Fleet;
+import granitefold.standin.KeptClients;
+import granitefold.standin.KeptClients.End;
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.Test;
+
+/** A new version beside the running one, on the same addresses, under load. */
+public final class UpgradeIT {
+    /** The issue asks for 20; {@code -Dupgrades=20} plays them. */
+    private static final int UPGRADES = Integer.getInteger("upgrades", 5);
+    private static final int PATIENCE_S = 30;
+
+    private static Fleet.Dispatcher serving(Fleet fleet) throws Exception {
+        Fleet.Dispatcher d = fleet.dispatcher("", fleet.discovery.list(null));
+        d.startBeside();
+        d.awaitYes();
+        return d;
+    }
+
+    private static void ended(Process p) throws InterruptedException {
+        assertTrue(p.waitFor(PATIENCE_S, TimeUnit.SECONDS), "the old one ends by itself");
+        assertEquals(p.exitValue(), 0);
+    }
+
+    /** A listener that closed reset what was in its queue, and kept connections closed across requests. */
+    @Test
+    public void nothingIsLostAndNothingTurnedBackUnheard() throws Exception {
+        try (Fleet fleet = new Fleet(4, 8)) {
+            Fleet.Dispatcher d = serving(fleet);
+            try (KeptClients kept = new KeptClients("k", d.address(), 8, 20_000, true);
+                    KeptClients fresh = new KeptClients("f", d.address(), 8, 20_000, false)) {
+                for (int i = 0; i < UPGRADES; i++) {
+                    kept.awaitServed(kept.count(End.SERVED) + 50);
+                    Process old = d.startBeside();
+                    d.awaitYes();
+                    old.destroy();
+                    fresh.awaitServed(fresh.count(End.SERVED) + 50);
+                    ended(old);
+                }
+                kept.stop();
+                fresh.stop();
+                for (KeptClients c : new KeptClients[] {kept, fresh}) {
+                    assertEquals(c.count(End.CUT) + c.count(End.FAILED), 0, c.toString());
+                    assertTrue(c.count(End.UNHEARD) + c.count(End.REFUSED) <= 2L * UPGRADES, c.toString());
+                    assertEquals(c.count(End.SERVED) + c.count(End.REJECTED), c.asked(), c.toString());
+                }
+                System.out.println(UPGRADES + " upgrades: kept " + kept + "; fresh " + fresh);
+            }
+            assertEquals(fleet.repeated(), 0);
+        }
+    }
+
+    /** The new version never comes to serve, or ends early: the old one goes on as if nothing had been. */
+    @Test
+    public void aNewVersionThatEndsEarlyCostsNothing() throws Exception {
+        try (Fleet fleet = new Fleet(4, 8)) {
+            Fleet.Dispatcher d = serving(fleet);
+            try (KeptClients kept = new KeptClients("k", d.address(), 8, 20_000, true)) {
+                kept.awaitServed(50);
+                Process old = d.startBeside();
+                d.kill();
+                kept.awaitServed(kept.count(End.SERVED) + 50);
+                assertTrue(old.isAlive());
+                // what the killed one held of the shared folder says nothing: this is a planned end like any other
+                old.destroy();
+                kept.awaitServed(kept.count(End.SERVED) + 50);
+                kept.stop();
+                assertEquals(kept.count(End.CUT) + kept.count(End.FAILED), 0, kept.toString());
+                ended(old);
+            }
+        }
+    }
+
+    /** The old one is stopped when its end is asked for: the new one serves, and the old one ends once it goes on. */
+    @Test
+    public void theOldOneMayBeStoppedMeanwhile() throws Exception {
+        try (Fleet fleet = new Fleet(4, 8)) {
+            Fleet.Dispatcher d = serving(fleet);
+            Process old = d.startBeside();
+            d.awaitYes();
+            signal(old, "STOP");
+            signal(old, "TERM");
+            signal(old, "CONT");
+            ended(old);
+            try (KeptClients fresh = new KeptClients("f", d.address(), 4, 20_000, false)) {
+                fresh.awaitServed(50);
+                fresh.stop();
+                assertEquals(fresh.count(End.SERVED), fresh.asked(), fresh.toString());
+            }
+        }
+    }
+
+    private static void signal(Process p, String signal) throws IOException, InterruptedException {
+        assertEquals(new ProcessBuilder("/bin/sh", "-c", "kill -" + signal + " " + p.pid()).start().waitFor(), 0);
+    }
+}
