The reducer split by matter: requests, tries, the peers' list, the module's actions

Change: Requests (contexts and their one answer), Tries, PeerBook (list and health), Sink (what the module asks for), over one plain class, Parts, of what they share. No behaviour changes.

--- /dev/null
+++ b/src/main/java/granitefold/core/Parts.java
@@ -0,0 +1,38 @@
+package granitefold.core;
+
+import granitefold.Dispatcher;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** What the files of the core share: its parts, the time of the event in hand, and what is to happen for it. */
+final class Parts {
+    final Reducer.Bounds bounds;
+    final Timers timers = new Timers();
+    final List<Effect> effects = new ArrayList<>();
+    final Pool pool;
+    final Clients clients;
+    final Map<Long, Peer> peers = new LinkedHashMap<>();
+    /** Outcomes of tries that ended within a call of the module, which is told once that call is over. */
+    final ArrayDeque<Runnable> afterwards = new ArrayDeque<>();
+    Dispatcher module;
+    Attendance attendance;
+    Bookkeeper books;
+    /** Null where neither probes nor tries are to say which peers look dead. */
+    PeerHealth health;
+    /** Null where nothing outlives the process. */
+    Recollection recollection;
+    /** From then on answers close their connections. */
+    long listensUntil = Long.MAX_VALUE;
+    /** By then every request is to have its answer. */
+    long endsAt = Long.MAX_VALUE;
+    long now;
+
+    Parts(Reducer.Bounds bounds) {
+        this.bounds = bounds;
+        pool = new Pool(bounds.peerConnections(), bounds.idleCloseUs(), timers, effects);
+        clients = new Clients(bounds.clientConnections(), timers, effects);
+    }
+}
--- a/src/main/java/granitefold/core/Pool.java
+++ b/src/main/java/granitefold/core/Pool.java
@@ -92,6 +92,13 @@
         }
     }
 
+    /** Stops waiting for a try: its connection closes at once, before anything else can be sent. */
+    void drop(Try t) {
+        timers.cancel(t.timer);
+        t.connection.carries = null;
+        close(t.connection);
+    }
+
     void closeIdle(Peer peer) {
         while (!peer.idle.isEmpty()) {
             close(peer.idle.getLast());
--- /dev/null
+++ b/src/main/java/granitefold/core/Sink.java
@@ -0,0 +1,70 @@
+package granitefold.core;
+
+import granitefold.Dispatcher;
+import granitefold.Dispatcher.Outcome;
+
+/** The module's actions. */
+final class Sink implements Dispatcher.Actions {
+    private final Parts core;
+    private final Requests requests;
+    private final Tries tries;
+
+    Sink(Parts parts, Requests requests, Tries tries) {
+        core = parts;
+        this.requests = requests;
+        this.tries = tries;
+    }
+
+    @Override
+    public void send(long request, long worker, long waitUs) {
+        RequestContext c = requests.get(request);
+        Peer peer = core.peers.get(worker);
+        if (c != null && peer != null) {
+            tries.send(c, peer, waitUs);
+        }
+    }
+
+    @Override
+    public void cancel(long request, int attempt) {
+        RequestContext c = requests.get(request);
+        Try t = c == null || attempt >= c.tries.size() ? null : c.tries.get(attempt);
+        if (t != null && t.outcome == null) {
+            core.pool.drop(t);
+            tries.endAfterwards(t, Outcome.CANCELLED);
+        }
+    }
+
+    @Override
+    public void refuse(long request, long retryAfterUs) {
+        finish(request, new FinalAnswer.Rejected(retryAfterUs));
+    }
+
+    @Override
+    public void fail(long request) {
+        RequestContext c = requests.get(request);
+        finish(request, new FinalAnswer.Failed(c != null && core.now >= c.moduleDeadline));
+    }
+
+    private void finish(long request, FinalAnswer answer) {
+        RequestContext c = requests.get(request);
+        if (c != null && !c.over) {
+            requests.answer(c, answer);
+            requests.forget(c);
+        }
+    }
+
+    @Override
+    public void timer(long afterUs, long token) {
+        core.timers.at(core.now + afterUs, t -> core.module.elapsed(t, token));
+    }
+
+    @Override
+    public void tell(int peer, byte[] message) {
+        core.effects.add(new Effect.Tell(peer, message));
+    }
+
+    @Override
+    public void watch() {
+        // discovery pushes: the watch is always open
+    }
+}
