--- a/src/main/java/granitefold/standin/Discovery.java
+++ b/src/main/java/granitefold/standin/Discovery.java
@@ -12,6 +12,7 @@
     private final List<Cocinero> peers;
     private volatile boolean silent;
     private volatile int version = 1;
+    private volatile int padding;
 
     public Discovery(List<Cocinero> peers) throws IOException {
         this.peers = List.copyOf(peers);
@@ -22,6 +23,12 @@
         silent = on;
     }
 
+    /** Tells of so many more peers, all draining, in one list after the other without a pause; 0: no more. */
+    public void flood(int peersBeside) {
+        padding = peersBeside;
+        version++;
+    }
+
     /** The peers' states have changed. */
     public void changed() {
         version++;
@@ -34,6 +41,15 @@
                 + "\",\"weight\":1.0,\"since_ms\":0,\"zone\":\"sala\",\"type\":\"m\"}").collect(Collectors.joining(",")) + "]}";
     }
 
+    private String padded(String list) {
+        StringBuilder b = new StringBuilder(list.substring(0, list.length() - 2));
+        for (int i = 0; i < padding; i++) {
+            b.append(",{\"name\":\"x-").append(i).append("\",\"address\":\"127.0.0.1:1\",\"status\":\"draining\",\"weight\":1.0,"
+                    + "\"since_ms\":0,\"zone\":\"sala\",\"type\":\"m\"}");
+        }
+        return b + "]}";
+    }
+
     @Override
     protected void serve(Socket socket) throws IOException, InterruptedException {
         Exchange e = new Exchange(socket, PATIENCE_MS);
@@ -47,16 +63,18 @@
                     e.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
                     head = true;
                 }
-                if (told != version) {
+                if (told != version || padding > 0) {
                     told = version;
-                    e.write(Cocinero.chunk(list(null) + "\n"));
+                    e.write(Cocinero.chunk(padded(list(null)) + "\n"));
                     saidAt = System.nanoTime();
                 } else if (System.nanoTime() - saidAt > HEARTBEAT_MS * 1_000_000L) {
                     e.write(Cocinero.chunk("\n"));
                     saidAt = System.nanoTime();
                 }
             }
-            Thread.sleep(LOOK_MS);
+            if (padding == 0) {
+                Thread.sleep(LOOK_MS);
+            }
         }
     }
 }
--- a/src/main/java/granitefold/standin/KeptClients.java
+++ b/src/main/java/granitefold/standin/KeptClients.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
 
 /**
  * Clients that each send one request after the other, on a connection that they keep for as long as it is kept, or on a
@@ -18,6 +19,8 @@
  */
 public final class KeptClients implements Closeable {
     private static final int PATIENCE_MS = 20_000;
+    /** Before another connect where nobody listened. */
+    private static final long REFUSED_NS = 5_000_000;
 
     /** What became of a request, or of one sending of it. */
     public enum End {
@@ -85,6 +88,7 @@
         try {
             return Exchange.open(to, PATIENCE_MS);
         } catch (ConnectException e) {
+            LockSupport.parkNanos(REFUSED_NS);
             return null;
         }
     }
--- a/src/test/java/granitefold/core/ReducerTest.java
+++ b/src/test/java/granitefold/core/ReducerTest.java
@@ -129,6 +129,45 @@
         assertTrue(handsOverEarly(true));
     }
 
+    /** Another process serves at the same address: whoever connects anew is its, and whoever is here is sent over. */
+    @Test
+    void aRelievedProcessStopsListeningAtOnceAndGivesItsClientsBack() {
+        request();
+        open(8);
+        play(new Event.AnsweredHere(8));
+        play(new Event.AnswerWritten(8, false));
+        play(new Event.Terminated(true));
+        assertEquals(1, all(Effect.StopListening.class).size());
+        assertEquals(1, all(Effect.LeaveSiblings.class).size());
+        assertEquals(0, all(Effect.CloseIdle.class).size(), "a request may be on its way");
+        play(new Event.PeerConnected(0));
+        play(new Event.RequestWritten(0));
+        play(new Event.PeerSaid(0, new TryNews.Served(new byte[0])));
+        assertTrue(all(Effect.Answer.class).get(0).close(), "its client connects anew, to the other one");
+        play(new Event.AnswerWritten(7, true));
+        play(new Event.ClientClosed(7));
+        now += Reducer.SERVE_ON_US - 1;
+        play(new Event.Woken());
+        assertEquals(Phase.DRAINING, reducer.phase(), "one kept connection is idle still");
+        now += 1;
+        play(new Event.Woken());
+        assertEquals(1, all(Effect.CloseIdle.class).size());
+        play(new Event.ClientClosed(8));
+        now += Reducer.LAST_READ_US;
+        play(new Event.Woken());
+        assertEquals(1, all(Effect.Stop.class).size());
+    }
+
+    /** Nobody is left: there is nothing to stay for. */
+    @Test
+    void aRelievedProcessWithoutClientsEndsEarly() {
+        play(new Event.Opened(list(State.READY, true), "127.0.0.1:2"));
+        play(new Event.Terminated(true));
+        now += Reducer.LAST_READ_US;
+        play(new Event.Woken());
+        assertEquals(1, all(Effect.Stop.class).size());
+    }
+
     private long up(long version, boolean whole, State... states) {
         List<PeerList.Entry> entries = new ArrayList<>();
         for (int i = 0; i < states.length; i++) {
--- a/src/test/java/granitefold/net/SocketsTest.java
+++ b/src/test/java/granitefold/net/SocketsTest.java
@@ -1,8 +1,11 @@
 package granitefold.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
@@ -86,6 +89,48 @@
         }
     }
 
+    /** What had connected but was not taken yet was reset when the listener closed. */
+    @Test
+    void aListenerThatClosesTakesWhatIsInItsQueue() throws Exception {
+        int clients = 40;
+        Sockets sockets = new Sockets("test", new Idle());
+        sockets.start();
+        CountDownLatch taken = new CountDownLatch(clients);
+        List<SocketChannel> open = new CopyOnWriteArrayList<>();
+        ServerSocketChannel listener = ServerSocketChannel.open();
+        listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), clients);
+        listener.configureBlocking(false);
+        Sockets.Taking taking = channel -> {
+            open.add(channel);
+            taken.countDown();
+        };
+        try {
+            sockets.listen(listener, taking);
+            InetSocketAddress address = (InetSocketAddress) listener.getLocalAddress();
+            // the loop stands still while they connect, so that all are in the queue when the listener is to close
+            sockets.submit(() -> {
+                for (int i = 0; i < clients; i++) {
+                    try {
+                        open.add(SocketChannel.open(address));
+                    } catch (IOException e) {
+                        throw new IllegalStateException(e);
+                    }
+                }
+                sockets.unlisten(listener, taking);
+            });
+            assertTrue(taken.await(10, TimeUnit.SECONDS), taken.getCount() + " were left in the queue");
+            CountDownLatch closed = new CountDownLatch(1);
+            sockets.submit(() -> sockets.submit(closed::countDown));
+            assertTrue(closed.await(10, TimeUnit.SECONDS));
+            assertThrows(ConnectException.class, () -> SocketChannel.open(address));
+        } finally {
+            for (SocketChannel c : open) {
+                c.close();
+            }
+            sockets.stop();
+        }
+    }
+
     private static SocketChannel accept(ServerSocketChannel server) {
         try {
             return server.accept();
--- a/src/test/java/granitefold/policy/RulesTest.java
+++ b/src/test/java/granitefold/policy/RulesTest.java
@@ -203,4 +203,22 @@
             assertEquals(copies ? 2 : 1, b.sentTo.size(), "copies " + copies);
         }
     }
+
+    /** Two processes of one dispatcher, each with its whole part of a cold worker's budget, would push it over together. */
+    @Test
+    void aRelievedProcessSendsNothingToAColdWorker() {
+        Bench b = new Bench(1, false);
+        b.list(ListNews.WHOLE, new Dispatcher.Worker(10, 1, Dispatcher.State.READY, b.now - 1_000_000, 0, 0, 0),
+                Bench.worker(11, 0, 0));
+        for (int i = 0; i < 9 && !b.sentTo.contains(10L); i++) {
+            b.request(Bench.SAFE, 0, 20, 9_000);
+        }
+        assertTrue(b.sentTo.contains(10L), "else this test shows nothing");
+        b.module.relieved();
+        b.sentTo.clear();
+        for (int i = 0; i < 6; i++) {
+            b.request(Bench.SAFE, i % 2, 20, 9_000);
+        }
+        assertTrue(b.sentTo.size() > 0 && !b.sentTo.contains(10L), b.sentTo.toString());
+    }
 }
--- a/src/test/java/granitefold/real/OpsIT.java
+++ b/src/test/java/granitefold/real/OpsIT.java
@@ -12,8 +12,12 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -78,6 +82,60 @@
         assertEquals(ask("check\r"), List.of("ACK"), "a terminal's line end is one too");
     }
 
+    /** Answered by the loop, a call waited behind all else that it had to do. */
+    @Test
+    public void aBusyLoopDelaysNoAnswer() throws Exception {
+        fleet.discovery.flood(20_000);
+        try {
+            long longest = 0;
+            // until the loop has been busy for two seconds at a time, as its clients see it; the flood goes on for as long
+            for (long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(60); longest < 2 * DUE_NS;) {
+                assertTrue(System.nanoTime() < until, "the loop was busy for " + longest / 1_000_000 + " ms at most");
+                long at = System.nanoTime();
+                Socket s = open(d.address(), "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
+                s.setSoTimeout(20);
+                for (boolean answered = false; !answered;) {
+                    assertEquals(ask("check"), List.of("ACK"));
+                    try {
+                        answered = s.getInputStream().read() != -2;
+                    } catch (SocketTimeoutException e) {
+                        answered = System.nanoTime() - at > 3 * DUE_NS;
+                    }
+                }
+                longest = Math.max(longest, System.nanoTime() - at);
+            }
+        } finally {
+            fleet.discovery.flood(0);
+        }
+    }
+
+    /** The smallest limits with the crowd: the process is within its memory, and still answers and serves. */
+    @Test
+    public void aCrowdFitsTheSmallestMemory() throws Exception {
+        try (RealProgram.Peer peer = new RealProgram.Peer("s-a");
+                RealProgram program = new RealProgram(Map.of("ops", "\"127.0.0.1:0\"",
+                        "limits", "{\"cores\":0.5,\"memory_mb\":96,\"sockets\":192}"), peer)) {
+            peer.serve("started", "done");
+            InetSocketAddress ops = program.addressIn("checks: ops on ");
+            program.serving();
+            for (int i = 0; i < 2_000; i++) {
+                program.client().write(i % 3 == 0 ? "POST /ficha HTTP/1.1\r\nHost:" : "");
+            }
+            for (int i = 0; i < 50; i++) {
+                RealProgram.Exchange client = program.client().write(RealProgram.request("/ficha", "t" + i,
+                        "X-Remaining-Ms: 9000\r\nX-Estimate: 1000\r\n", "soup"));
+                assertEquals(client.status(), 200);
+                client.close();
+            }
+            String figures = program.connect(ops, null).write("vars\n").rest();
+            assertTrue(figures.contains("\"success\":50"), figures);
+            String high = Files.readAllLines(Path.of("/proc", String.valueOf(program.process.pid()), "status")).stream()
+                    .filter(l -> l.startsWith("VmHWM")).findFirst().orElseThrow();
+            System.out.println("2,000 clients at 96 MB: " + high);
+            assertTrue(Long.parseLong(high.replaceAll("\\D", "")) < 96 * 1024, high);
+        }
+    }
+
     /** Silent callers, and a crowd at the clients' address, cost the answers nothing; the figures stay true meanwhile. */
     @Test
     public void figuresAreTrueUnderACrowd() throws Exception {
--- a/src/test/java/granitefold/real/UpgradeIT.java
+++ b/src/test/java/granitefold/real/UpgradeIT.java
@@ -7,6 +7,7 @@
 import granitefold.standin.KeptClients;
 import granitefold.standin.KeptClients.End;
 import java.io.IOException;
+import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.Test;
 
@@ -77,6 +78,43 @@
         }
     }
 
+    /** Either may be killed at any moment: what was open there is lost, and the one that is left serves on. */
+    @Test
+    public void bothMayBeKilledInTurn() throws Exception {
+        Random random = new Random(7);
+        int clients = 8;
+        try (Fleet fleet = new Fleet(4, 8)) {
+            Fleet.Dispatcher d = serving(fleet);
+            try (KeptClients kept = new KeptClients("k", d.address(), clients, 20_000, true)) {
+                for (int i = 0; i < 4; i++) {
+                    kept.awaitServed(kept.count(End.SERVED) + 50);
+                    Process old = d.startBeside();
+                    if (i % 2 == 0) {
+                        // mostly before the new one has said yes, which then may say so alone
+                        kept.awaitServed(kept.count(End.SERVED) + random.nextInt(300));
+                        old.destroyForcibly().waitFor();
+                        d.awaitYes();
+                    } else {
+                        d.awaitYes();
+                        old.destroy();
+                        kept.awaitServed(kept.count(End.SERVED) + random.nextInt(20));
+                        Process killed = d.process();
+                        // the old one is on its way out: whoever is left over waits for the next start
+                        killed.destroyForcibly().waitFor();
+                        d.startBeside();
+                        d.awaitYes();
+                    }
+                    kept.awaitServed(kept.count(End.SERVED) + 50);
+                }
+                kept.stop();
+                assertEquals(kept.count(End.FAILED), 0, kept.toString());
+                // of each kill at most what its clients had open
+                assertTrue(kept.count(End.CUT) <= 4L * clients, kept.toString());
+            }
+            assertEquals(fleet.repeated(), 0, "no id was started twice");
+        }
+    }
+
     /** The old one is stopped when its end is asked for: the new one serves, and the old one ends once it goes on. */
     @Test
     public void theOldOneMayBeStoppedMeanwhile() throws Exception {
