--- a/src/main/java/granitefold/standin/Fleet.java
+++ b/src/main/java/granitefold/standin/Fleet.java
@@ -224,6 +224,11 @@
         return new Balancer(rules, dispatchers.stream().map(Dispatcher::target).toList());
     }
 
+    /** Jobs started so far, anywhere, each as often as it was. */
+    public long started() {
+        return cocineros.stream().flatMap(c -> c.starts.values().stream()).mapToLong(n -> n).sum();
+    }
+
     /** Jobs that were started more than once, anywhere. */
     public long repeated() {
         return cocineros.stream().flatMap(c -> c.starts.entrySet().stream()).collect(java.util.stream.Collectors.groupingBy(
--- a/src/test/java/granitefold/real/OpsIT.java
+++ b/src/test/java/granitefold/real/OpsIT.java
@@ -171,7 +171,8 @@
             assertEquals(ficha.get("overload").asLong(), clients.count(End.REJECTED), clients.toString());
             assertEquals(ficha.get("error").asLong(), clients.count(End.FAILED), clients.toString());
             assertEquals(all.get("concurrent").asLong(), 0);
-            assertTrue(all.get("dispatches").asLong() >= ficha.get("success").asLong());
+            // the operators' slack for tries is 2%
+            assertEquals((double) all.get("dispatches").asLong(), fleet.started(), 3 + 0.02 * fleet.started());
         }
     }
 }
