The estimate of unheard work costs no power where nothing fades

Ruled out: decisions, since a lone dispatcher uses no lateness. At fault: Waits.faded, a power for each try that is out at each survey, computed for lone dispatchers too.

Change: the power only past the time from which silence fades, and no estimate of unheard work where there are no siblings.

--- a/src/main/java/granitefold/policy/Admission.java
+++ b/src/main/java/granitefold/policy/Admission.java
@@ -46,7 +46,7 @@
     void survey(Job job, long now) {
         k.reach.clear();
         double sum = 0;
-        double drift = waits.unheard(now);
+        double drift = k.siblings > 1 ? waits.unheard(now) : 0;
         for (Node n : k.near) {
             if ((n.mine || cold.isCold(n, now)) && gate.takes(n, job) && cold.allows(job, n, now)) {
                 n.counted = waits.waitOn(n, job.slots, now);
--- a/src/main/java/granitefold/policy/Waits.java
+++ b/src/main/java/granitefold/policy/Waits.java
@@ -98,7 +98,8 @@
     }
 
     private static double faded(long at, long now) {
-        return Math.pow(0.5, Math.max(0, now - at - Gossip.WORD_US) / Gossip.WORD_US);
+        double over = now - at - Gossip.WORD_US;
+        return over <= 0 ? 1 : Math.pow(0.5, over / Gossip.WORD_US);
     }
 
     /** How much longer than counted a job of ours waited, or waits already: its silence says ever less. */
