--- a/src/main/java/granitefold/cli/Commands.java
+++ b/src/main/java/granitefold/cli/Commands.java
@@ -3,6 +3,10 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import granitefold.availability.Wish;
 import granitefold.benchlink.BenchLink;
+import granitefold.cli.rollout.KeepCommand;
+import granitefold.cli.rollout.PlanFile;
+import granitefold.cli.rollout.RolloutCommand;
+import granitefold.operator.BrokenFile;
 import granitefold.operator.OperatorFile;
 import granitefold.wire.BadWire;
 import granitefold.wire.Config;
@@ -30,6 +34,7 @@
         description = "A dispatcher for jobs.", exitCodeOnInvalidInput = Commands.USAGE,
         subcommands = {Commands.ServeCommand.class, Commands.BenchLinkCommand.class, Commands.Check.class,
             Commands.Drain.class, StateCommand.class, Commands.Ready.class, Commands.Maint.class, Commands.Status.class,
+            RolloutCommand.class, KeepCommand.class,
             AutoComplete.GenerateCompletion.class, CommandLine.HelpCommand.class})
 public final class Commands implements Callable<Integer> {
     static final int USAGE = 64, NO = 1;
@@ -99,10 +104,10 @@
     @Command(name = "check", mixinStandardHelpOptions = true,
             description = "Check configuration files and print the settings that hold.")
     static final class Check implements Callable<Integer> {
-        enum Kind { PLATFORM, OPERATOR }
+        enum Kind { PLATFORM, OPERATOR, PLAN }
 
         @Option(names = "--as", paramLabel = "KIND",
-                description = "${COMPLETION-CANDIDATES}; else *.json is the platform's.")
+                description = "${COMPLETION-CANDIDATES}; else *.json is the platform's and *.plan a rollout's.")
         private Kind kind;
         @Parameters(arity = "1..*", paramLabel = "FILE")
         private List<Path> files;
@@ -116,13 +121,14 @@
             for (Path file : files) {
                 try {
                     Map<String, String> settings = kind == Kind.PLATFORM || kind == null && file.toString().endsWith(".json")
-                            ? Config.read(file).effective() : OperatorFile.read(file).effective();
+                            ? Config.read(file).effective() : kind == Kind.PLAN || kind == null && file.toString().endsWith(".plan")
+                            ? PlanFile.read(file).effective() : OperatorFile.read(file).effective();
                     out.println("# " + file);
                     settings.forEach((key, value) -> out.println(key + " = " + value));
                 } catch (BadWire e) {
                     spec.commandLine().getErr().println(e.getMessage());
                     status = Serve.BAD_CONFIGURATION;
-                } catch (OperatorFile.Broken e) {
+                } catch (BrokenFile e) {
                     e.problems().forEach(spec.commandLine().getErr()::println);
                     status = Serve.BAD_CONFIGURATION;
                 }
@@ -161,7 +167,7 @@
             ControlClient client;
             try {
                 client = new ControlClient(where.socket != null ? where.socket : socketOf(where.operator));
-            } catch (OperatorFile.Broken e) {
+            } catch (BrokenFile e) {
                 e.problems().forEach(spec.commandLine().getErr()::println);
                 return Serve.BAD_CONFIGURATION;
             }
@@ -185,7 +191,7 @@
             return 0;
         }
 
-        private static Path socketOf(Path file) throws OperatorFile.Broken, IOException {
+        private static Path socketOf(Path file) throws BrokenFile, IOException {
             var control = OperatorFile.read(file).operator().control();
             if (control == null) {
                 throw new IOException(file + ": control.socket is not set");
--- a/src/main/java/granitefold/cli/Serve.java
+++ b/src/main/java/granitefold/cli/Serve.java
@@ -6,6 +6,7 @@
 import granitefold.net.checks.Checks;
 import granitefold.net.checks.Ops;
 import granitefold.operator.Operator;
+import granitefold.operator.BrokenFile;
 import granitefold.operator.OperatorFile;
 import granitefold.state.StateKeeper;
 import granitefold.wire.BadWire;
@@ -44,7 +45,7 @@
         } catch (BadWire e) {
             fail(List.of("bad configuration: " + e.getMessage()));
         } catch (Exception e) {
-            if (operatorFile != null && e instanceof OperatorFile.Broken broken) {
+            if (operatorFile != null && e instanceof BrokenFile broken) {
                 fail(broken.problems());
             }
             fail(List.of("cannot start: " + e));
@@ -99,7 +100,7 @@
             if (operator.tells()) {
                 loop.retune(next.availability());
             }
-        } catch (OperatorFile.Broken e) {
+        } catch (BrokenFile e) {
             EventLog.log(LogEvent.OPERATOR_KEPT, e.getMessage());
         }
     }
--- a/src/main/java/granitefold/logging/LogEvent.java
+++ b/src/main/java/granitefold/logging/LogEvent.java
@@ -41,6 +41,10 @@
     STATE_DROPPED("state.dropped", Level.INFO, "state: dropped {}", "what"),
     STATE_PROBLEM("state.problem", Level.WARN, "state: {}", "problem"),
     STATE_EMPTY("state.empty", Level.INFO, "state: nothing to recover in {}", "folder"),
+    KEEPER("keeper", Level.INFO, "keeper: {}", "what"),
+    KEEPER_PROBLEM("keeper.problem", Level.WARN, "keeper: {}", "problem"),
+    ROLLOUT("rollout", Level.INFO, "rollout: {}", "what"),
+    ROLLOUT_PROBLEM("rollout.problem", Level.WARN, "rollout: {}", "problem"),
     INTERNAL_ERROR("internal.error", Level.ERROR, "internal error on {}", "what"),
     REPEATED("repeated", Level.INFO, "the last line of {} stands for {} more", "event", "count");
 
--- a/src/main/java/granitefold/operator/OperatorFile.java
+++ b/src/main/java/granitefold/operator/OperatorFile.java
@@ -1,20 +1,11 @@
 package granitefold.operator;
 
-import com.typesafe.config.Config;
-import com.typesafe.config.ConfigException;
-import com.typesafe.config.ConfigFactory;
-import com.typesafe.config.ConfigIncluder;
-import com.typesafe.config.ConfigParseOptions;
-import com.typesafe.config.ConfigSyntax;
 import granitefold.availability.AvailabilitySettings;
 import granitefold.health.HealthSettings;
 import granitefold.operator.Operator.Bounds;
 import granitefold.wire.BadWire;
-import java.io.IOException;
 import java.net.InetAddress;
 import java.net.UnknownHostException;
-import java.nio.charset.CharacterCodingException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashSet;
 import java.util.List;
@@ -23,102 +14,23 @@
 
 /** Reads the operator's file. */
 public final class OperatorFile {
-    /** A longer file is a mistake. */
-    private static final long LENGTH_MOST = 256 * 1024;
-    /** Brackets nested deeper than this are one too, and would use up the parser's stack. */
-    private static final int DEPTH_MOST = 32;
     private static final long MINUTE_MS = 60_000, HOUR_MS = 3_600_000;
 
     /** A file that was read: the settings, and every key with the value that holds. */
     public record Read(Operator operator, Map<String, String> effective) { }
 
-    /** All problems of a file, each with file, line and key. */
-    public static final class Broken extends Exception {
-        private static final long serialVersionUID = 1;
-        private final transient List<String> problems;
-
-        Broken(List<String> problems) {
-            super(String.join("; ", problems));
-            this.problems = problems;
-        }
-
-        public List<String> problems() {
-            return problems;
-        }
-    }
-
     private OperatorFile() { }
 
     /** Reads and checks a file. */
-    public static Read read(Path file) throws Broken {
-        try {
-            if (Files.size(file) > LENGTH_MOST) {
-                throw new Broken(List.of(file + ": longer than " + LENGTH_MOST + " bytes"));
-            }
-            return read(file.toString(), Files.readString(file));
-        } catch (CharacterCodingException e) {
-            throw new Broken(List.of(file + ": is not UTF-8"));
-        } catch (IOException e) {
-            throw new Broken(List.of(file + ": cannot be read: " + e));
-        }
+    public static Read read(Path file) throws BrokenFile {
+        HoconFile.Read<Operator> read = HoconFile.read(file, OperatorFile::read);
+        return new Read(read.value(), read.effective());
     }
 
     /** Reads and checks a text; {@code name} is what its problems are told by. */
-    public static Read read(String name, String text) throws Broken {
-        Section.Notes notes = new Section.Notes(name);
-        Operator operator = null;
-        try {
-            if (deep(text)) {
-                throw new Broken(List.of(name + ": nested deeper than " + DEPTH_MOST));
-            }
-            // an include would read other files, or addresses, that nobody has checked
-            Config all = ConfigFactory.parseString(text, ConfigParseOptions.defaults().setSyntax(ConfigSyntax.CONF)
-                    .setOriginDescription(name).setIncluder(new NoIncludes()));
-            if (!all.isResolved()) {
-                // a few lines of them can stand for a text that fills the memory
-                throw new Broken(List.of(name + ": ${...} is not taken: each key has its own value"));
-            }
-            operator = read(new Section("", all, notes));
-        } catch (ConfigException | BadWire e) {
-            ConfigException c = e instanceof ConfigException ce ? ce : null;
-            notes.add(c == null || c.origin() == null ? 0 : c.origin().lineNumber(), plain(e.getMessage(), name));
-        }
-        if (!notes.problems().isEmpty()) {
-            throw new Broken(notes.problems());
-        }
-        return new Read(operator, notes.effective);
-    }
-
-    private static final class NoIncludes implements ConfigIncluder {
-        @Override
-        public ConfigIncluder withFallback(ConfigIncluder fallback) {
-            return this;
-        }
-
-        @Override
-        public com.typesafe.config.ConfigObject include(com.typesafe.config.ConfigIncludeContext context, String what) {
-            throw new BadWire("include: " + what + ": one file holds all settings");
-        }
-    }
-
-    private static boolean deep(String text) {
-        int depth = 0;
-        for (int i = 0; i < text.length(); i++) {
-            char c = text.charAt(i);
-            depth += c == '{' || c == '[' ? 1 : c == '}' || c == ']' ? -1 : 0;
-            if (depth > DEPTH_MOST) {
-                return true;
-            }
-        }
-        return false;
-    }
-
-    /** The library's words, without the place, which is told before them. */
-    private static String plain(String message, String name) {
-        String text = message.lines().findFirst().orElse("").strip();
-        int at = text.indexOf(name + ": ");
-        text = at < 0 ? text : text.substring(at + name.length() + 2);
-        return text.replaceFirst("^\\d+: ", "");
+    public static Read read(String name, String text) throws BrokenFile {
+        HoconFile.Read<Operator> read = HoconFile.read(name, text, OperatorFile::read);
+        return new Read(read.value(), read.effective());
     }
 
     private static Operator read(Section all) {
--- a/src/main/java/granitefold/operator/Section.java
+++ b/src/main/java/granitefold/operator/Section.java
@@ -7,6 +7,7 @@
 import com.typesafe.config.ConfigValueType;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -19,7 +20,7 @@
  * One section of the file. Each key is asked for once, with what is allowed and what holds without it; what is wrong
  * is noted and reading goes on. At the end a key that nobody asked for is a problem too.
  */
-final class Section {
+public final class Section {
     /** A word this far from a known key, or nearer, is taken for a slip of the pen. */
     private static final int NEAR = 4;
 
@@ -55,7 +56,7 @@
     }
 
     /** The section below a key; without it one that has no keys. */
-    Section section(String key) {
+    public Section section(String key) {
         known.add(key);
         ConfigValue v = value(key);
         if (v != null && v.valueType() != ConfigValueType.OBJECT) {
@@ -66,27 +67,67 @@
                 notes);
     }
 
-    boolean has(String key) {
+    /** The named sections below a key, in the order of the file. */
+    public Map<String, Section> named(String key) {
+        Section all = section(key);
+        Map<String, Section> found = new LinkedHashMap<>();
+        all.here.root().entrySet().stream().sorted(java.util.Comparator.comparingInt(e -> e.getValue().origin().lineNumber()))
+                .forEach(e -> found.put(e.getKey(), all.section(e.getKey())));
+        return found;
+    }
+
+    /** The sections of a list. */
+    public List<Section> list(String key) {
+        known.add(key);
+        ConfigValue v = value(key);
+        List<Section> found = new ArrayList<>();
+        if (v != null && v.valueType() != ConfigValueType.LIST) {
+            wrong(key, v, "a list of sections: " + key + " = [ { ... } ]");
+        } else if (v != null) {
+            for (ConfigValue one : (com.typesafe.config.ConfigList) v) {
+                String at = path(key) + "[" + found.size() + "]";
+                if (one.valueType() == ConfigValueType.OBJECT) {
+                    found.add(new Section(at, ((ConfigObject) one).toConfig(), notes));
+                } else {
+                    notes.add(one.origin().lineNumber(), at + ": " + one.unwrapped() + " is not a section");
+                }
+            }
+        }
+        return found;
+    }
+
+    /** Notes that a key's value does not do, for a reason that shows only beside others. */
+    public void reject(String key, String why) {
+        ConfigValue v = value(key);
+        notes.add(v == null ? here.root().origin().lineNumber() : v.origin().lineNumber(), path(key) + ": " + why);
+    }
+
+    /** Whether a key is there. */
+    public boolean has(String key) {
         known.add(key);
         return value(key) != null;
     }
 
-    boolean isEmpty() {
+    /** Whether it holds nothing. */
+    public boolean isEmpty() {
         return here.isEmpty();
     }
 
-    boolean yes(String key, boolean absent) {
+    /** True or false. */
+    public boolean yes(String key, boolean absent) {
         return read(key, absent, "true or false", () -> here.getBoolean(key));
     }
 
-    int whole(String key, int absent, int least, int most) {
+    /** A whole number within bounds. */
+    public int whole(String key, int absent, int least, int most) {
         return read(key, absent, "a whole number from " + least + " to " + most, () -> {
             double v = here.getDouble(key);
             return v == Math.rint(v) && v >= least && v <= most ? (int) v : null;
         });
     }
 
-    double number(String key, double absent, double least, double most) {
+    /** A number within bounds. */
+    public double number(String key, double absent, double least, double most) {
         return read(key, absent, "a number from " + least + " to " + most, () -> {
             double v = here.getDouble(key);
             return v >= least && v <= most ? v : null;
@@ -94,7 +135,7 @@
     }
 
     /** A time in microseconds, written with its unit. */
-    long time(String key, long absentUs, long leastMs, long mostMs) {
+    public long time(String key, long absentUs, long leastMs, long mostMs) {
         return read(key, absentUs, "a time from " + leastMs + "ms to " + mostMs + "ms, with its unit", () -> {
             // a bare number would be milliseconds, which nobody can see
             if (here.getValue(key).valueType() != ConfigValueType.STRING) {
@@ -105,25 +146,29 @@
         });
     }
 
-    String text(String key, String absent, String allowed, java.util.function.Predicate<String> good) {
+    /** A text that a test finds good; {@code allowed} says what that is. */
+    public String text(String key, String absent, String allowed, java.util.function.Predicate<String> good) {
         return read(key, absent, allowed, () -> {
             String v = here.getString(key);
             return good.test(v) ? v : null;
         });
     }
 
-    String word(String key, String absent, String... words) {
+    /** One of these words. */
+    public String word(String key, String absent, String... words) {
         return text(key, absent, String.join(" or ", words), List.of(words)::contains);
     }
 
-    List<String> texts(String key, String allowed, java.util.function.Predicate<String> good) {
+    /** A list of texts that a test finds good, each. */
+    public List<String> texts(String key, String allowed, java.util.function.Predicate<String> good) {
         return read(key, List.of(), allowed, () -> {
             List<String> all = here.getStringList(key);
             return all.stream().allMatch(good) ? all : null;
         });
     }
 
-    InetSocketAddress address(String key) {
+    /** An address, or null. */
+    public InetSocketAddress address(String key) {
         InetSocketAddress[] found = new InetSocketAddress[1];
         text(key, "", "host:port with a literal address, as 127.0.0.1:9701", v -> {
             try {
@@ -173,7 +218,7 @@
     }
 
     /** Names what is there and unknown, each with the known key that it is most like. */
-    void finish() {
+    public void finish() {
         for (Map.Entry<String, ConfigValue> e : here.root().entrySet()) {
             if (!known.contains(e.getKey())) {
                 LevenshteinDistance distance = new LevenshteinDistance();
--- a/src/main/java/granitefold/standin/Exchange.java
+++ b/src/main/java/granitefold/standin/Exchange.java
@@ -8,31 +8,33 @@
 import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
 
 /** One end of an HTTP/1.1 connection, blocking, for stand-ins only. */
-final class Exchange implements Closeable {
+public final class Exchange implements Closeable {
     private static final int LINE_MOST = 16 * 1024;
 
-    final Socket socket;
+    public final Socket socket;
     private final InputStream in;
-    String first;
-    Map<String, String> head;
-    byte[] body;
+    public String first;
+    public Map<String, String> head;
+    public byte[] body;
     /** Bytes of the present message were read. */
-    boolean begun;
+    public boolean begun;
 
-    Exchange(Socket socket, int patienceMs) throws IOException {
+    public Exchange(Socket socket, int patienceMs) throws IOException {
         this.socket = socket;
         socket.setSoTimeout(patienceMs);
         socket.setTcpNoDelay(true);
         in = new BufferedInputStream(socket.getInputStream());
     }
 
-    static Exchange open(InetSocketAddress to, int patienceMs) throws IOException {
+    public static Exchange open(InetSocketAddress to, int patienceMs) throws IOException {
         Socket socket = new Socket();
         try {
             socket.connect(to, patienceMs);
@@ -43,12 +45,12 @@
         }
     }
 
-    void write(String text) throws IOException {
+    public void write(String text) throws IOException {
         socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
     }
 
     /** Reads a message with its body by Content-Length; false at the end. */
-    boolean read() throws IOException {
+    public boolean read() throws IOException {
         begun = false;
         first = line();
         if (first == null) {
@@ -70,12 +72,40 @@
         return true;
     }
 
-    int status() {
+    /**
+     * Waits so long for the other side to close; true if it has. Bytes that come instead are a mistake of its own: each
+     * connection carries one request at a time.
+     */
+    public boolean closedWithin(int ms) throws IOException {
+        int before = socket.getSoTimeout();
+        try {
+            socket.setSoTimeout(Math.max(1, ms));
+            if (in.read() < 0) {
+                return true;
+            }
+            throw new IOException("more than one request at a time");
+        } catch (SocketTimeoutException e) {
+            return false;
+        } catch (SocketException e) {
+            return true;
+        } finally {
+            if (!socket.isClosed()) {
+                socket.setSoTimeout(before);
+            }
+        }
+    }
+
+    /** Whether more has come than was read. */
+    public boolean more() throws IOException {
+        return in.available() > 0;
+    }
+
+    public int status() {
         return Integer.parseInt(first.split(" ")[1]);
     }
 
     /** All that comes until the end, as an agent's line. */
-    String rest() throws IOException {
+    public String rest() throws IOException {
         return new String(in.readNBytes(LINE_MOST), StandardCharsets.ISO_8859_1);
     }
 
--- a/src/main/java/granitefold/standin/Server.java
+++ b/src/main/java/granitefold/standin/Server.java
@@ -3,33 +3,51 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
 /** A listener on loopback with a daemon thread a connection. */
-abstract class Server implements Closeable {
+public abstract class Server implements Closeable {
     private static final int BACKLOG = 256;
 
     private final ServerSocket listener;
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
 
-    Server() throws IOException {
+    protected Server() throws IOException {
         listener = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
         daemon(this::accept, getClass().getSimpleName());
     }
 
-    static void daemon(Runnable task, String name) {
+    public static void daemon(Runnable task, String name) {
         Thread thread = new Thread(task, name);
         thread.setDaemon(true);
         thread.start();
     }
 
-    final String address() {
+    public final String address() {
         return "127.0.0.1:" + listener.getLocalPort();
     }
 
+    /** Where it listens. */
+    public final InetSocketAddress at() {
+        return (InetSocketAddress) listener.getLocalSocketAddress();
+    }
+
+    /** Resets every connection that is open. */
+    protected final void resetAll() {
+        for (Socket s : open) {
+            try {
+                s.setSoLinger(true, 0);
+                s.close();
+            } catch (IOException e) {
+                // closed is closed
+            }
+        }
+    }
+
     private void accept() {
         while (!listener.isClosed()) {
             try {
--- /dev/null
+++ b/src/main/java/granitefold/standin/edge/EdgeListener.java
@@ -0,0 +1,15 @@
+package granitefold.standin.edge;
+
+import java.net.InetSocketAddress;
+
+/** Hears from the relays' thread what the opener of a connection did, at the time it did so, whatever is held back. */
+public interface EdgeListener {
+    /** Hears nothing. */
+    EdgeListener NONE = new EdgeListener() { };
+
+    /** The opener has sent something. {@code conn}: the address that the other side sees. */
+    default void sent(Edge edge, InetSocketAddress conn, long atNs) { }
+
+    /** The opener has closed, or is gone. */
+    default void closed(Edge edge, InetSocketAddress conn, long atNs) { }
+}
--- /dev/null
+++ b/src/main/java/granitefold/standin/ground/GroundCommand.java
@@ -0,0 +1,204 @@
+package granitefold.standin.ground;
+
+import granitefold.operator.BrokenFile;
+import granitefold.standin.history.Checker;
+import granitefold.standin.history.History;
+import granitefold.standin.history.Violation;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import org.apache.commons.math3.distribution.TDistribution;
+import org.apache.commons.math3.stat.descriptive.SummaryStatistics;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** The proving ground's command line. Exit status: 0 where no rule is broken, 1 where one is, 2 for a broken scenario, 64 for wrong usage. */
+@Command(name = "granitefold-standin", mixinStandardHelpOptions = true, exitCodeOnInvalidInput = 64,
+        description = "Real dispatchers as processes, with faults between them.",
+        subcommands = {GroundCommand.Run.class, GroundCommand.CheckHistory.class, GroundCommand.Show.class, granitefold.standin.Experiment.class,
+            CommandLine.HelpCommand.class})
+public final class GroundCommand implements Callable<Integer> {
+    private static final int BROKEN_RULE = 1, BROKEN_FILE = 2, USAGE = 64;
+    private static final double SURE = 0.975;
+
+    @Spec
+    private CommandSpec spec;
+
+    private GroundCommand() { }
+
+    public static void main(String[] args) {
+        System.setProperty("java.awt.headless", "true");
+        System.exit(execute(args));
+    }
+
+    static int execute(String... args) {
+        CommandLine line = new CommandLine(new GroundCommand());
+        line.getSubcommands().values().forEach(c -> c.getCommandSpec().exitCodeOnInvalidInput(USAGE));
+        line.setExecutionExceptionHandler((e, command, result) -> {
+            if (e instanceof BrokenFile broken) {
+                broken.problems().forEach(command.getErr()::println);
+                return BROKEN_FILE;
+            }
+            command.getErr().println("granitefold-standin: " + e);
+            return BROKEN_RULE;
+        });
+        return line.execute(args);
+    }
+
+    @Override
+    public Integer call() {
+        spec.commandLine().usage(spec.commandLine().getErr());
+        return USAGE;
+    }
+
+    @Command(name = "run", mixinStandardHelpOptions = true, description = "Play a scenario.")
+    static final class Run implements Callable<Integer> {
+        @Parameters(paramLabel = "SCENARIO", description = "A scenario's file, or the name of one in scenarios/.")
+        private String scenario;
+        @Option(names = "--seed", defaultValue = "1", description = "Of all that is drawn (${DEFAULT-VALUE}).")
+        private long seed;
+        @Option(names = "--repeat", defaultValue = "1", description = "Plays, each with the next seed (${DEFAULT-VALUE}).")
+        private int repeat;
+        @Option(names = "--jar", defaultValue = "target/granitefold.jar", description = "The dispatchers' jar (${DEFAULT-VALUE}).")
+        private Path jar;
+        @Option(names = "--json", paramLabel = "FILE", description = "Write the report there.")
+        private Path json;
+        @Option(names = "--html", paramLabel = "FILE", description = "Write the report as a page there.")
+        private Path html;
+        @Option(names = "--history", paramLabel = "FILE", description = "Write all that was seen there, for `check-history`.")
+        private Path history;
+        @Option(names = "--quiet", description = "No progress.")
+        private boolean quiet;
+        @Spec
+        private CommandSpec spec;
+        private volatile Play.Running running;
+
+        @Override
+        public Integer call() throws Exception {
+            Scenario s = Scenario.read(find(scenario));
+            PrintWriter out = spec.commandLine().getOut();
+            Thread rescue = new Thread(this::rescue);
+            Runtime.getRuntime().addShutdownHook(rescue);
+            List<Play> plays = new ArrayList<>();
+            for (int i = 0; i < repeat; i++) {
+                if (!quiet) {
+                    out.printf("%s, seed %d: %d dispatchers, %d cocineros, %d s%n", s.name(), seed + i, s.dispatchers().count(), s.cocineros().count(),
+                            s.lengthUs() / 1_000_000);
+                    out.flush();
+                }
+                Play p = Play.run(s, seed + i, jar, r -> running = r);
+                plays.add(p);
+                print(out, p);
+                write(p, plays);
+            }
+            Runtime.getRuntime().removeShutdownHook(rescue);
+            if (plays.size() > 1) {
+                out.println(interval(plays));
+            }
+            return plays.stream().allMatch(Play::well) ? 0 : BROKEN_RULE;
+        }
+
+        private static Path find(String name) {
+            Path file = Path.of(name);
+            return Files.exists(file) ? file : Path.of("scenarios", name + ".conf");
+        }
+
+        /** Broken off by hand: what there is so far is still of use. */
+        private void rescue() {
+            Play.Running r = running;
+            if (r != null) {
+                try {
+                    Play p = r.so(true);
+                    write(p, List.of(p));
+                } catch (IOException e) {
+                    System.err.println("granitefold-standin: no report: " + e);
+                }
+            }
+        }
+
+        private void write(Play p, List<Play> plays) throws IOException {
+            if (json != null) {
+                Object all = plays.size() == 1 ? Report.json(p) : plays.stream().map(Report::json).toList();
+                Files.writeString(json, Settings.JSON.writerWithDefaultPrettyPrinter().writeValueAsString(all) + "\n");
+            }
+            if (html != null) {
+                Report.html(p, html);
+            }
+            if (history != null) {
+                try (java.io.Writer w = Files.newBufferedWriter(history)) {
+                    for (granitefold.standin.history.Entry e : p.history()) {
+                        w.write(Settings.JSON.writeValueAsString(e) + "\n");
+                    }
+                }
+            }
+        }
+
+        private static void print(PrintWriter out, Play p) {
+            Tallies.Row all = p.tallies().all();
+            out.printf(Locale.ROOT, "  asked %d, service %.3f, in time %d, late %d, rejected %d, failed %d, lost %d, left %d; p50 %.0f ms, p99 %.0f ms%n",
+                    all.asked, all.service(), all.count(Tallies.End.IN_TIME), all.count(Tallies.End.LATE), all.count(Tallies.End.REJECTED),
+                    all.count(Tallies.End.FAILED), all.count(Tallies.End.LOST), all.count(Tallies.End.LEFT), all.latencyMs(50), all.latencyMs(99));
+            if (p.failed() != null) {
+                out.println("  the script failed: " + p.failed());
+            }
+            p.violations().stream().limit(5).forEach(v -> out.println("  " + v));
+            out.println(p.violations().isEmpty() ? "  no rule broken" : "  " + p.violations().size() + " times a rule was broken");
+            out.flush();
+        }
+
+        private static String interval(List<Play> plays) {
+            SummaryStatistics s = new SummaryStatistics();
+            plays.forEach(p -> s.addValue(p.tallies().all().service()));
+            double half = new TDistribution(s.getN() - 1.0).inverseCumulativeProbability(SURE) * s.getStandardDeviation() / Math.sqrt(s.getN());
+            return String.format(Locale.ROOT, "service over %d plays: %.3f, 95%% interval %.3f to %.3f; rules broken in %d", s.getN(), s.getMean(),
+                    s.getMean() - half, s.getMean() + half, plays.stream().filter(p -> !p.violations().isEmpty()).count());
+        }
+    }
+
+    @Command(name = "check-history", mixinStandardHelpOptions = true, description = "Look for broken rules in what `run --history` wrote.")
+    static final class CheckHistory implements Callable<Integer> {
+        @Parameters(index = "0", paramLabel = "SCENARIO")
+        private String scenario;
+        @Parameters(index = "1", paramLabel = "HISTORY")
+        private Path history;
+        @Option(names = "--slack", defaultValue = "550", description = "Milliseconds by which a time limit may be passed (${DEFAULT-VALUE}).")
+        private long slackMs;
+        @Spec
+        private CommandSpec spec;
+
+        @Override
+        public Integer call() throws Exception {
+            List<Violation> found = Checker.check(Scenario.read(Run.find(scenario)).terms(slackMs), History.read(history));
+            found.forEach(spec.commandLine().getOut()::println);
+            spec.commandLine().getOut().println(found.isEmpty() ? "no rule broken" : found.size() + " times a rule was broken");
+            return found.isEmpty() ? 0 : BROKEN_RULE;
+        }
+    }
+
+    @Command(name = "show", mixinStandardHelpOptions = true, description = "Check scenarios and print what each stands for.")
+    static final class Show implements Callable<Integer> {
+        @Parameters(arity = "1..*", paramLabel = "SCENARIO")
+        private List<String> scenarios;
+        @Spec
+        private CommandSpec spec;
+
+        @Override
+        public Integer call() throws Exception {
+            for (String name : scenarios) {
+                Scenario s = Scenario.read(Run.find(name));
+                spec.commandLine().getOut().printf("%s: %s (%d dispatchers, %d cocineros, %d s, %d steps)%n", s.name(), s.about(), s.dispatchers().count(),
+                        s.cocineros().count(), s.lengthUs() / 1_000_000, s.steps().size() + s.drawn().count());
+            }
+            return 0;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/granitefold/standin/ground/Report.java
@@ -0,0 +1,180 @@
+package granitefold.standin.ground;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import granitefold.standin.history.Entry;
+import granitefold.standin.history.Violation;
+import java.awt.Color;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import org.knowm.xchart.AnnotationLine;
+import org.knowm.xchart.BitmapEncoder;
+import org.knowm.xchart.CategoryChart;
+import org.knowm.xchart.CategoryChartBuilder;
+import org.knowm.xchart.XYChart;
+import org.knowm.xchart.XYChartBuilder;
+import org.knowm.xchart.style.markers.SeriesMarkers;
+
+/** A play as JSON, for programs, and as one page that holds all it shows, for people. */
+final class Report {
+    private static final int WIDTH = 900, HEIGHT = 320, TRACE_MOST = 20, VIOLATIONS_MOST = 50;
+    private static final double[] PERCENTILES = {50, 90, 99, 99.9};
+
+    private Report() { }
+
+    // ---------------------------------------------------------------- JSON
+    static ObjectNode json(Play p) {
+        ObjectNode o = Settings.JSON.createObjectNode();
+        o.put("scenario", p.scenario().name()).put("about", p.scenario().about()).put("seed", p.seed());
+        o.put("well", p.well()).put("cut", p.cut());
+        if (p.failed() != null) {
+            o.put("script_failed", p.failed());
+        }
+        row(o.putObject("all"), p.tallies().all());
+        rows(o.putObject("classes"), p.tallies().classes());
+        rows(o.putObject("tenants"), p.tallies().tenants());
+        rows(o.putObject("dispatchers"), p.tallies().dispatchers());
+        ArrayNode seconds = o.putArray("seconds");
+        p.tallies().seconds().forEach(r -> seconds.addObject().put("asked", r.asked).put("service", rounded(r.service())));
+        ArrayNode marks = o.putArray("marks");
+        p.marks().forEach(m -> marks.addObject().put("at_ms", m.sinceUs() / 1000).put("what", m.what()));
+        ArrayNode broken = o.putArray("violations");
+        p.violations().stream().limit(VIOLATIONS_MOST).forEach(v -> {
+            ObjectNode b = broken.addObject().put("rule", v.rule().name()).put("at_ms", v.atUs() / 1000).put("what", v.what());
+            ArrayNode trace = b.putArray("trace");
+            v.trace().stream().limit(TRACE_MOST).forEach(e -> trace.add(Settings.JSON.valueToTree(e)));
+        });
+        o.put("violations_in_all", p.violations().size());
+        return o;
+    }
+
+    private static void rows(ObjectNode o, Map<String, Tallies.Row> rows) {
+        rows.forEach((name, r) -> row(o.putObject(name), r));
+    }
+
+    private static void row(ObjectNode o, Tallies.Row r) {
+        o.put("asked", r.asked).put("service", rounded(r.service()));
+        for (Tallies.End e : Tallies.End.values()) {
+            o.put(e.name().toLowerCase(Locale.ROOT), r.count(e));
+        }
+        ObjectNode l = o.putObject("latency_ms");
+        for (double q : PERCENTILES) {
+            l.put("p" + (q == Math.rint(q) ? Long.toString((long) q) : Double.toString(q)), r.latencyMs(q));
+        }
+    }
+
+    private static double rounded(double v) {
+        return Math.round(v * 1e4) / 1e4;
+    }
+
+    // ---------------------------------------------------------------- a page
+    static void html(Play p, Path file) throws IOException {
+        System.setProperty("java.awt.headless", "true");
+        StringBuilder b = new StringBuilder("<!DOCTYPE html><html lang=\"en\"><meta charset=\"utf-8\"><title>").append(text(p.scenario().name()))
+                .append("</title><style>body{font:15px sans-serif;max-width:940px;margin:2em auto}td,th{padding:2px 10px;text-align:right}"
+                        + "td:first-child,th:first-child{text-align:left}.bad{color:#b00}pre{background:#f4f4f4;padding:8px;overflow:auto}</style><h1>")
+                .append(text(p.scenario().name())).append(", seed ").append(p.seed()).append("</h1><p>").append(text(p.scenario().about())).append("</p>");
+        if (p.cut()) {
+            b.append("<p class=bad>Broken off: the figures are those up to then.</p>");
+        }
+        if (p.failed() != null) {
+            b.append("<p class=bad>The script failed: ").append(text(p.failed())).append("</p>");
+        }
+        b.append(p.violations().isEmpty() ? "<p>No rule broken.</p>" : "<p class=bad>" + p.violations().size() + " times a rule was broken.</p>");
+        table(b, "", Map.of("all", p.tallies().all()));
+        b.append("<h2>Service by second</h2>").append(image(service(p)));
+        b.append("<table><tr><th>second<th>what was done</tr>");
+        p.marks().forEach(m -> b.append(String.format(Locale.ROOT, "<tr><td>%.2f<td style=\"text-align:left\">%s</tr>", m.sinceUs() / 1e6, text(m.what()))));
+        b.append("</table>");
+        table(b, "By class", p.tallies().classes());
+        table(b, "By tenant", p.tallies().tenants());
+        table(b, "By dispatcher", p.tallies().dispatchers());
+        b.append(image(ends(p)));
+        if (!p.violations().isEmpty()) {
+            b.append("<h2>Broken rules</h2>");
+            p.violations().stream().limit(VIOLATIONS_MOST).forEach(v -> b.append("<h3>").append(text(v.toString())).append("</h3>").append(trace(v)));
+        }
+        Files.writeString(file, b.append("</html>"));
+    }
+
+    private static String trace(Violation v) {
+        StringBuilder t = new StringBuilder("<pre>");
+        for (Entry e : v.trace().stream().limit(TRACE_MOST).toList()) {
+            t.append(String.format(Locale.ROOT, "%9.3f ms %s %s %s %s %s %s%n", e.atUs() / 1000.0, e.what(), word(e.who()), word(e.whom()), word(e.txn()),
+                    e.number() == 0 ? "" : e.number(), word(e.text())));
+        }
+        return t.append("</pre>").toString();
+    }
+
+    private static String word(String s) {
+        return s == null ? "" : text(s);
+    }
+
+    private static String text(String s) {
+        return s.replace("&", "&amp;").replace("<", "&lt;").replace(">", "&gt;");
+    }
+
+    private static void table(StringBuilder b, String title, Map<String, Tallies.Row> rows) {
+        b.append("<h2>").append(title).append("</h2><table><tr><th><th>asked<th>service");
+        for (Tallies.End e : Tallies.End.values()) {
+            b.append("<th>").append(e.name().toLowerCase(Locale.ROOT).replace('_', ' '));
+        }
+        b.append("<th>p50 ms<th>p99 ms</tr>");
+        rows.forEach((name, r) -> {
+            b.append("<tr><td>").append(text(name)).append("<td>").append(r.asked).append(String.format(Locale.ROOT, "<td>%.3f", r.service()));
+            for (Tallies.End e : Tallies.End.values()) {
+                b.append("<td>").append(r.count(e));
+            }
+            b.append(String.format(Locale.ROOT, "<td>%.0f<td>%.0f</tr>", r.latencyMs(50), r.latencyMs(99)));
+        });
+        b.append("</table>");
+    }
+
+    private static XYChart service(Play p) {
+        XYChart c = new XYChartBuilder().width(WIDTH).height(HEIGHT).xAxisTitle("seconds after clients began").yAxisTitle("worth served in time").build();
+        c.getStyler().setYAxisMin(0.0).setYAxisMax(1.0).setLegendVisible(false).setAnnotationLineColor(new Color(176, 0, 0, 120));
+        List<Double> at = new ArrayList<>();
+        List<Double> service = new ArrayList<>();
+        List<Tallies.Row> seconds = p.tallies().seconds();
+        for (int i = 0; i < seconds.size(); i++) {
+            at.add(i + 0.5);
+            service.add(seconds.get(i).service());
+        }
+        if (at.isEmpty()) {
+            at.add(0.0);
+            service.add(0.0);
+        }
+        c.addSeries("service", at, service).setMarker(SeriesMarkers.CIRCLE);
+        for (Script.Mark m : p.marks()) {
+            AnnotationLine line = new AnnotationLine(m.sinceUs() / 1e6, true, false);
+            c.addAnnotation(line);
+        }
+        return c;
+    }
+
+    private static CategoryChart ends(Play p) {
+        CategoryChart c = new CategoryChartBuilder().width(WIDTH).height(HEIGHT).yAxisTitle("requests").build();
+        c.getStyler().setStacked(true);
+        List<String> names = p.tallies().dispatchers().isEmpty() ? List.of("none") : List.copyOf(p.tallies().dispatchers().keySet());
+        for (Tallies.End e : Tallies.End.values()) {
+            c.addSeries(e.name().toLowerCase(Locale.ROOT).replace('_', ' '), names, names.stream().map(n ->
+                    p.tallies().dispatchers().containsKey(n) ? (Number) p.tallies().dispatchers().get(n).count(e) : 0L).toList());
+        }
+        return c;
+    }
+
+    private static String image(org.knowm.xchart.internal.chartpart.Chart<?, ?> chart) {
+        try {
+            return "<img alt=\"chart\" src=\"data:image/png;base64," + Base64.getEncoder().encodeToString(
+                    BitmapEncoder.getBitmapBytes(chart, BitmapEncoder.BitmapFormat.PNG)) + "\">";
+        } catch (IOException e) {
+            return "<p class=bad>no chart: " + text(e.toString()) + "</p>";
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/granitefold/standin/ground/Scenario.java
@@ -0,0 +1,181 @@
+package granitefold.standin.ground;
+
+import granitefold.operator.BrokenFile;
+import granitefold.operator.HoconFile;
+import granitefold.operator.Section;
+import granitefold.standin.history.Terms;
+import granitefold.standin.world.WorkerSpec;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What is played: read once from HOCON, checked, and never changed.
+ *
+ * @param about what it stands for, in a sentence
+ * @param lengthUs how long clients ask
+ * @param steps what happens, in the order of the file
+ */
+public record Scenario(String name, String about, long lengthUs, Dispatchers dispatchers, Cocineros cocineros, Load load,
+        Map<String, JobClass> classes, Map<String, Tenant> tenants, List<Step> steps, Drawn drawn) {
+    private static final long MINUTE_MS = 60_000;
+    static final int DISPATCHERS_MOST = 24, COCINEROS_MOST = 40;
+
+    /**
+     * The dispatchers.
+     *
+     * @param noticeUs how long the front goes on sending to one that has died
+     * @param operator their operators' file
+     * @param state each has a folder that lasts
+     * @param beside they have a second address, so that another version may be started beside each
+     * @param talk they may send each other datagrams
+     */
+    public record Dispatchers(int count, int memoryMb, long noticeUs, String operator, boolean state, boolean beside, boolean talk) { }
+
+    /** The cocineros, all alike but for their speed, which is drawn around the mean by a share. */
+    public record Cocineros(int count, WorkerSpec spec, double spread) { }
+
+    /**
+     * The clients: requests come by chance at a rate, whatever becomes of those before.
+     *
+     * @param retries how often a client comes again after a reject
+     * @param impatient share of clients that leave early
+     * @param honour share of clients that heed Retry-After
+     */
+    public record Load(double perS, int retries, double impatient, double honour) { }
+
+    /** A class of jobs; times in microseconds, {@code spread}: of the work, as its standard deviation over its mean. */
+    public record JobClass(double share, double workUs, double spread, int slots, Terms.Effect effect, long onTimeUs, long deadlineUs,
+            double stretch, double worth, long windowUs) { }
+
+    /** A tenant: its share of the quota, and what it asks of its share of the load. */
+    public record Tenant(double share, double usage) { }
+
+    /** Something that goes wrong, or right again, at a time after clients began, or a while after something was seen. */
+    public record Step(String action, long atUs, String when, List<String> to, List<List<String>> between, List<String> edges,
+            double amount, long lastsUs) { }
+
+    /** Steps drawn from the seed. */
+    public record Drawn(int count, long fromUs, long untilUs, List<String> of, long lastsUs) { }
+
+    /** The actions of steps. */
+    static final List<String> ACTIONS = List.of("kill", "stop", "continue", "end", "start", "restart", "reload", "cut", "cut-there", "cut-back",
+            "delay", "lose", "drip", "refuse", "reset", "heal", "slow", "hang", "stick", "fail", "truncate", "break", "well", "drain",
+            "remove", "replace", "die", "discovery-down", "discovery-up", "rate", "tenant-rate", "state-lost", "state-cut", "state-aged",
+            "state-swapped", "state-kept", "state-back");
+
+    /** Reads and checks a file. */
+    public static Scenario read(Path file) throws BrokenFile {
+        String name = file.getFileName().toString().replaceFirst("\\.conf$", "");
+        return HoconFile.read(file, s -> read(name, s)).value();
+    }
+
+    /** Reads and checks a text. */
+    public static Scenario read(String name, String text) throws BrokenFile {
+        return HoconFile.read(name + ".conf", text, s -> read(name, s)).value();
+    }
+
+    private static Scenario read(String name, Section all) {
+        Section d = all.section("dispatchers");
+        Section c = all.section("cocineros");
+        Section l = all.section("load");
+        Section r = all.section("drawn");
+        Map<String, JobClass> classes = new LinkedHashMap<>();
+        all.named("classes").forEach((key, s) -> classes.put(key, jobClass(s)));
+        if (classes.isEmpty()) {
+            classes.put("ficha", new JobClass(1, 40_000, 0.8, 1, Terms.Effect.SAFE, 300_000, 5_000_000, 2, 1, 12_000_000));
+        }
+        Map<String, Tenant> tenants = new LinkedHashMap<>();
+        all.named("tenants").forEach((key, s) -> {
+            tenants.put(key, new Tenant(s.number("share", 1, 0, 1), s.number("usage", 1, 0, 100)));
+            s.finish();
+        });
+        if (tenants.isEmpty()) {
+            tenants.put("acme", new Tenant(1, 1));
+        }
+        double meanWork = classes.values().stream().mapToDouble(j -> j.share * j.workUs * j.slots).sum()
+                / classes.values().stream().mapToDouble(JobClass::share).sum();
+        Scenario s = new Scenario(name, all.text("about", "", "a sentence", t -> true), all.time("for", 10_000_000, 500, 60 * MINUTE_MS),
+                new Dispatchers(d.whole("count", 2, 1, DISPATCHERS_MOST), d.whole("memory-mb", 160, 64, 1024),
+                        d.time("front-notice", 1_500_000, 0, MINUTE_MS), d.text("operator", "", "the text of an operators' file", t -> true),
+                        d.yes("state", false), d.yes("beside", false), d.yes("talk", true)),
+                cocineros(c, meanWork),
+                new Load(l.number("rate", 60, 0.1, 5000), l.whole("retries", 2, 0, 10), l.number("impatient", 0, 0, 1),
+                        l.number("honour", 0.8, 0, 1)),
+                classes, tenants, steps(all), drawn(r));
+        for (Section x : List.of(d, c, l, r, all)) {
+            x.finish();
+        }
+        return s;
+    }
+
+    private static Cocineros cocineros(Section c, double meanWork) {
+        Cocineros found = new Cocineros(c.whole("count", 4, 1, COCINEROS_MOST), new WorkerSpec(c.whole("slots", 6, 1, 64), c.number("speed", 1, 0.01, 100),
+                c.whole("queue", 40, 0, 10_000), c.number("cold-from", 0.4, 0.01, 1), c.time("cold-for", 6_000_000, 1, MINUTE_MS),
+                c.number("falls-at", 3, 1, 1000), c.time("falls-within", 2_000_000, 100, MINUTE_MS), meanWork, c.whole("keeps", 0, 0, 10_000),
+                c.time("fetch", 0, 0, MINUTE_MS)), c.number("spread", 0, 0, 0.9));
+        return found;
+    }
+
+    private static JobClass jobClass(Section s) {
+        JobClass c = new JobClass(s.number("share", 1, 0, 1), s.time("work", 40_000, 0, MINUTE_MS), s.number("spread", 0.8, 0, 5),
+                s.whole("slots", 1, 1, 64), Terms.Effect.valueOf(s.word("effect", "safe", "safe", "keyed", "unsafe").toUpperCase(java.util.Locale.ROOT)),
+                s.time("on-time", 300_000, 1, MINUTE_MS), s.time("deadline", 5_000_000, 10, 5 * MINUTE_MS), s.number("stretch", 2, 0, 100),
+                s.number("worth", 1, 0, 1000), s.time("window", 12_000_000, 100, 5 * MINUTE_MS));
+        s.finish();
+        return c;
+    }
+
+    private static List<Step> steps(Section all) {
+        List<Step> steps = new ArrayList<>();
+        for (Section s : all.list("steps")) {
+            List<List<String>> between = new ArrayList<>();
+            for (String group : s.texts("between", "two groups of names, each as \"n0 n1\"", t -> true)) {
+                between.add(List.of(group.trim().split("[ ,]+")));
+            }
+            Step step = new Step(s.text("do", "", "one of " + String.join(", ", ACTIONS), ACTIONS::contains),
+                    s.time("at", 0, 0, 60 * MINUTE_MS), s.text("when", "", "ready NAME, exited NAME or served COUNT",
+                            t -> t.matches("(ready|exited) \\S+|served \\d+")),
+                    s.texts("to", "names of dispatchers, cocineros or tenants", t -> t.matches("\\S+")), between,
+                    s.texts("edges", "client, peer, discovery, sibling", t -> List.of("client", "peer", "discovery", "sibling").contains(t)),
+                    s.number("amount", 0, 0, 1e9), s.time("lasts", 0, 0, 60 * MINUTE_MS));
+            if (step.action.isEmpty()) {
+                s.reject("do", "a step has to say what it does");
+            }
+            if (!between.isEmpty() && between.size() != 2) {
+                s.reject("between", "takes two groups");
+            }
+            s.finish();
+            steps.add(step);
+        }
+        return steps;
+    }
+
+    private static Drawn drawn(Section r) {
+        return new Drawn(r.whole("count", 0, 0, 1000), r.time("from", 2_000_000, 0, 60 * MINUTE_MS), r.time("until", 6_000_000, 0, 60 * MINUTE_MS),
+                r.texts("of", "one of " + String.join(", ", ACTIONS), ACTIONS::contains), r.time("lasts", 1_000_000, 0, 60 * MINUTE_MS));
+    }
+
+    /** Names of its first dispatchers. */
+    public List<String> dispatcherNames() {
+        return java.util.stream.IntStream.range(0, dispatchers.count).mapToObj(i -> "n" + i).toList();
+    }
+
+    /** What the fleet does a second by itself, warm, in jobs of mean work. */
+    public double capacityPerS() {
+        return cocineros.count * cocineros.spec.slots() * cocineros.spec.speed() * 1e6 / cocineros.spec.meanWorkUs();
+    }
+
+    /** What the rules are measured by; {@code slackMs}: as {@link Terms} has it. */
+    public Terms terms(long slackMs) {
+        Map<String, Terms.JobClass> rules = new LinkedHashMap<>();
+        classes.forEach((key, c) -> rules.put(key, new Terms.JobClass(c.effect, c.windowUs / 1000, c.deadlineUs / 1000)));
+        Map<String, Double> quotas = new LinkedHashMap<>();
+        tenants.forEach((key, t) -> quotas.put(key, t.share * capacityPerS()));
+        return new Terms(rules, quotas, DRAIN_GRACE_MS, slackMs, true);
+    }
+
+    static final long DRAIN_GRACE_MS = 3000;
+}
--- /dev/null
+++ b/src/main/java/granitefold/standin/ground/Settings.java
@@ -0,0 +1,54 @@
+package granitefold.standin.ground;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import granitefold.standin.history.Terms;
+import java.util.List;
+
+/** A dispatcher's configuration, in the platform's form. */
+final class Settings {
+    static final ObjectMapper JSON = new ObjectMapper();
+    private static final int SOCKETS = 1024, TICK_MS = 5, ANSWER_SLACK_MS = 20, CONNECT_MS = 300, IDLE_MS = 15_000, RETRY_AFTER_MS = 2000,
+            ATTEMPTS = 4;
+
+    private Settings() { }
+
+    /** All but the addresses, which the member fills in. */
+    static ObjectNode of(Scenario s, String name, int number, long seed) {
+        ObjectNode c = JSON.createObjectNode();
+        c.put("name", name).put("seed", String.format("%016x", seed));
+        c.putObject("limits").put("cores", 1.0).put("memory_mb", s.dispatchers().memoryMb()).put("sockets", SOCKETS);
+        ObjectNode set = c.putObject("settings");
+        ArrayNode classes = set.putArray("classes");
+        ObjectNode family = set.putObject("familyInfo").put("tellsStart", true);
+        ArrayNode stretches = family.putArray("classStretch");
+        s.classes().forEach((key, j) -> {
+            classes.addObject().put("name", key).put("effect", switch (j.effect()) {
+                case SAFE -> "retryable";
+                case KEYED -> "dedup";
+                case UNSAFE -> "fragile";
+            }).put("group", "all").put("dedupWindowMs", j.effect() == Terms.Effect.KEYED ? j.windowUs() / 1000 : 0)
+                    .put("onTimeMs", j.onTimeUs() / 1000).put("deadlineMs", j.deadlineUs() / 1000).put("points", j.worth());
+            stretches.add(j.stretch());
+        });
+        ArrayNode tenants = set.putArray("tenants");
+        s.tenants().forEach((key, t) -> tenants.addObject().put("name", key).put("fraction", t.share())
+                .put("quotaPerS", t.share() * s.capacityPerS()));
+        set.putArray("failureDomains").add("sala");
+        set.putArray("hostTypes").add("m");
+        set.put("me", number).put("siblings", s.dispatchers().count()).put("tickMs", TICK_MS);
+        set.putObject("rules").put("drainGraceMs", Scenario.DRAIN_GRACE_MS).put("graceToAnswerMs", ANSWER_SLACK_MS)
+                .put("coldFrom", s.cocineros().spec().coldFrom()).put("coldMs", s.cocineros().spec().coldUs() / 1000)
+                .put("tipMultiple", s.cocineros().spec().fallMultiple()).put("fallMs", s.cocineros().spec().fallUs() / 1000);
+        set.putObject("limits").put("attemptsCap", ATTEMPTS).put("connectTimeoutMs", CONNECT_MS).put("idleCloseMs", IDLE_MS)
+                .put("cancelling", true).put("peers", s.dispatchers().talk()).put("maxRetryAfterMs", RETRY_AFTER_MS);
+        return c;
+    }
+
+    static ArrayNode addresses(List<String> all) {
+        ArrayNode a = JSON.createArrayNode();
+        all.forEach(a::add);
+        return a;
+    }
+}
--- /dev/null
+++ b/src/main/java/granitefold/standin/history/Checker.java
@@ -0,0 +1,215 @@
+package granitefold.standin.history;
+
+import granitefold.standin.history.Entry.What;
+import granitefold.standin.history.Violation.Rule;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+
+/** Looks for broken rules in a whole history. Pure: the same entries give the same verdict. */
+public final class Checker {
+    /** A reject in the last tenth of its client's time, with nothing out for half a second before, was kept back. */
+    private static final double LATE_SHARE = 0.1;
+    private static final long IDLE_US = 500_000;
+
+    private final Terms terms;
+    private final List<Entry> all;
+    private final List<Violation> found = new ArrayList<>();
+    /** A connection's closings by its opener, in order. */
+    private final Map<String, List<Long>> closed = new HashMap<>();
+    /** When a dispatcher last sent anything on a connection, in order. */
+    private final Map<String, List<Long>> sent = new HashMap<>();
+    private final Excuses excuses;
+
+    private Checker(Terms terms, List<Entry> all) {
+        this.terms = terms;
+        this.all = all;
+        excuses = new Excuses(all);
+        for (Entry e : all) {
+            if (e.what() == What.CLOSED) {
+                closed.computeIfAbsent(e.conn(), c -> new ArrayList<>()).add(e.atUs());
+            } else if (e.what() == What.SENT) {
+                sent.computeIfAbsent(e.conn(), c -> new ArrayList<>()).add(e.atUs());
+            }
+        }
+    }
+
+    /** All broken rules, the first one first. {@code sorted}: a whole history in the order of its times. */
+    public static List<Violation> check(Terms terms, List<Entry> sorted) {
+        Checker c = new Checker(terms, sorted);
+        Map<String, List<Entry>> requests = new LinkedHashMap<>();
+        for (Entry e : sorted) {
+            if (e.txn() != null) {
+                requests.computeIfAbsent(e.txn(), t -> new ArrayList<>()).add(e);
+            }
+        }
+        requests.values().forEach(c::request);
+        c.keys();
+        c.drains();
+        c.found.addAll(new Quotas(terms).check(sorted));
+        for (Entry e : sorted) {
+            if (e.what() == What.FELL) {
+                c.broken(Rule.COLD, e, e.who() + " was cold and fell over", List.of(e));
+            } else if (e.what() == What.PROCESS && e.text().startsWith("crashed")) {
+                c.broken(Rule.CRASHED, e, e.who() + " " + e.text(), List.of(e));
+            } else if (e.what() == What.EXTRA) {
+                c.broken(Rule.ANSWERED_TWICE, e, e.whom() + " sent more than one answer", List.of(e));
+            }
+        }
+        c.found.sort(Comparator.comparingLong(Violation::atUs));
+        return c.found;
+    }
+
+    private void broken(Rule rule, Entry at, String what, List<Entry> trace) {
+        found.add(new Violation(rule, at.atUs(), what, trace));
+    }
+
+    // ---------------------------------------------------------------- one request
+    private void request(List<Entry> trace) {
+        Entry asked = first(trace, What.ASKED);
+        if (asked == null) {
+            return;
+        }
+        answers(asked, trace);
+        List<Entry> begun = trace.stream().filter(e -> e.what() == What.BEGUN).toList();
+        for (int i = 1; i < begun.size(); i++) {
+            Entry before = begun.get(i - 1);
+            Entry next = begun.get(i);
+            long over = overAt(before, trace);
+            if (sentAt(next) < over - TimeSlack.SEEN_US) {
+                broken(Rule.TWO_OUT, next, asked.txn() + ": a try at " + next.who() + " while the one at " + before.who()
+                        + " was out for " + (over == Long.MAX_VALUE ? "ever" : (over - sentAt(next)) / 1000 + " ms more"), trace);
+            }
+        }
+        Terms.JobClass c = terms.classes().get(asked.jobClass());
+        Entry ran = begun.stream().filter(b -> !turnedAway(b, trace)).findFirst().orElse(null);
+        for (Entry b : begun) {
+            if (c == null || ran == null || b.atUs() <= ran.atUs()) {
+                continue;
+            }
+            if (c.effect() == Terms.Effect.UNSAFE) {
+                broken(Rule.RESENT, b, asked.txn() + ": sent again to " + b.who() + " though it may have run at " + ran.who(), trace);
+            } else if (c.effect() == Terms.Effect.KEYED && sentAt(b) - ran.atUs() > (c.windowMs() + terms.slackMs()) * 1000) {
+                broken(Rule.RESENT, b, asked.txn() + ": sent again to " + b.who() + " " + (b.atUs() - ran.atUs()) / 1000
+                        + " ms after it may have run, past its key's window", trace);
+            }
+        }
+    }
+
+    private void answers(Entry asked, List<Entry> trace) {
+        List<Entry> answers = trace.stream().filter(e -> e.what() == What.ANSWERED).toList();
+        long dueUs = asked.atUs() + (asked.number() + terms.slackMs()) * 1000;
+        Entry end = trace.stream().filter(e -> e.what() == What.UNHEARD || e.what() == What.CUT || e.what() == What.SILENT
+                || e.what() == What.LEFT).findFirst().orElse(null);
+        if (answers.isEmpty() && end != null && end.what() != What.LEFT && !excuses.client(asked, end.atUs())
+                && !(end.what() == What.UNHEARD && first(trace, What.BEGUN) == null)) {
+            broken(Rule.LOST, end, asked.txn() + ": " + asked.whom() + " took it and gave no answer (" + end.what() + ")", trace);
+        }
+        if (answers.size() > 1) {
+            broken(Rule.ANSWERED_TWICE, answers.get(1), asked.txn() + ": answered " + answers.size() + " times", trace);
+        }
+        for (Entry a : answers) {
+            if (a.number() == 200 && !"made".equals(a.text())) {
+                broken(Rule.MADE_UP, a, asked.txn() + ": answered with what no cocinero made for it", trace);
+            }
+            if (a.atUs() > dueUs && !excuses.client(asked, a.atUs())) {
+                broken(Rule.LOST, a, asked.txn() + ": answered " + (a.atUs() - asked.atUs()) / 1000 + " ms after it was asked, "
+                        + asked.number() + " were given", trace);
+            }
+            if (a.number() == 503 || a.number() == 429) {
+                if (terms.retryAfter() && a.text() == null) {
+                    broken(Rule.NO_RETRY_AFTER, a, asked.txn() + ": rejected with no Retry-After", trace);
+                }
+                long last = trace.stream().filter(e -> e.what() == What.BEGUN).mapToLong(b -> overAt(b, trace)).max()
+                        .orElse(asked.atUs());
+                long kept = a.atUs() - Math.max(asked.atUs(), last);
+                if (a.atUs() - asked.atUs() > asked.number() * 1000 * (1 - LATE_SHARE) && kept > IDLE_US
+                        && !excuses.client(asked, a.atUs())) {
+                    broken(Rule.DELAYED, a, asked.txn() + ": rejected " + kept / 1000 + " ms after anything had happened to it", trace);
+                }
+            }
+        }
+    }
+
+    private static boolean turnedAway(Entry begun, List<Entry> trace) {
+        Entry end = endOf(begun, trace);
+        return end != null && ("returned".equals(end.text()) || "turned away".equals(end.text()));
+    }
+
+    /** The cocinero's own end of a try, or null. */
+    private static Entry endOf(Entry begun, List<Entry> trace) {
+        return trace.stream().filter(e -> e.what() == What.ENDED && e.who().equals(begun.who())
+                && Objects.equals(e.conn(), begun.conn()) && e.atUs() >= begun.atUs()).findFirst().orElse(null);
+    }
+
+    /** When a try was over: its last line was written, or the dispatcher closed its connection. */
+    private long overAt(Entry begun, List<Entry> trace) {
+        Entry end = endOf(begun, trace);
+        long close = closed.getOrDefault(begun.conn(), List.of()).stream().findFirst().orElse(Long.MAX_VALUE);
+        return Math.min(close, end == null ? Long.MAX_VALUE : end.atUs());
+    }
+
+    /** When the dispatcher sent a try's last bytes: relays may have held them since. */
+    private long sentAt(Entry begun) {
+        List<Long> at = sent.getOrDefault(begun.conn(), List.of());
+        long last = begun.atUs();
+        for (long t : at) {
+            if (t <= begun.atUs()) {
+                last = t;
+            }
+        }
+        return last;
+    }
+
+    private static Entry first(List<Entry> trace, What what) {
+        return trace.stream().filter(e -> e.what() == what).findFirst().orElse(null);
+    }
+
+    // ---------------------------------------------------------------- over all requests
+    private void keys() {
+        Map<String, Entry> started = new HashMap<>();
+        // by the client's word: whether the key was passed on is a part of the question
+        Map<String, String> keyOf = new HashMap<>();
+        for (Entry e : all) {
+            if (e.what() == What.ASKED && e.key() != null) {
+                keyOf.put(e.txn(), e.key());
+            }
+            if (e.what() == What.STARTED && keyOf.containsKey(e.txn()) && !"repeat".equals(e.text())) {
+                Entry before = started.put(keyOf.get(e.txn()), e);
+                Terms.JobClass c = terms.classes().get(e.jobClass());
+                if (before != null && c != null && done(before) && e.atUs() - before.atUs() < c.windowMs() * 1000) {
+                    broken(Rule.RAN_TWICE, e, "key " + keyOf.get(e.txn()) + " ran at " + before.who() + " and at " + e.who(), List.of(before, e));
+                }
+            }
+        }
+    }
+
+    private boolean done(Entry started) {
+        return all.stream().anyMatch(e -> e.what() == What.ENDED && "done".equals(e.text()) && Objects.equals(e.conn(), started.conn())
+                && Objects.equals(e.txn(), started.txn()));
+    }
+
+    private void drains() {
+        Map<String, Entry> told = new HashMap<>();
+        for (Entry e : all) {
+            if (e.what() == What.TOLD) {
+                String way = e.who() + ">" + e.whom();
+                if (e.text().equals("up")) {
+                    told.remove(way);
+                } else {
+                    told.putIfAbsent(way, e);
+                }
+            } else if (e.what() == What.BEGUN) {
+                Entry drain = told.get(e.whom() + ">" + e.who());
+                if (drain != null && sentAt(e) - drain.atUs() > (terms.drainGraceMs() + terms.slackMs()) * 1000) {
+                    broken(Rule.DRAIN, e, e.whom() + " sent " + e.txn() + " to " + e.who() + " " + (sentAt(e) - drain.atUs()) / 1000
+                            + " ms after it was told: " + drain.text(), List.of(drain, e));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/granitefold/standin/history/Terms.java
@@ -0,0 +1,22 @@
+package granitefold.standin.history;
+
+import java.util.Map;
+
+/**
+ * What the rules are measured by.
+ *
+ * @param classes each class by its name
+ * @param tenants each tenant's quota, jobs a second over the whole fleet
+ * @param drainGraceMs nothing new goes to a cocinero so long after its drain was told
+ * @param slackMs by how much a time limit may be passed: the wire's 50 ms and what a busy machine adds
+ * @param retryAfter whether each reject carries Retry-After
+ */
+public record Terms(Map<String, JobClass> classes, Map<String, Double> tenants, long drainGraceMs, long slackMs,
+        boolean retryAfter) {
+
+    /** What a repeat of a job does. */
+    public enum Effect { SAFE, KEYED, UNSAFE }
+
+    /** {@code windowMs}: how long a key is remembered; {@code deadlineMs}: what its clients wait at the most. */
+    public record JobClass(Effect effect, long windowMs, long deadlineMs) { }
+}
--- /dev/null
+++ b/src/main/java/granitefold/standin/history/Violation.java
@@ -0,0 +1,46 @@
+package granitefold.standin.history;
+
+import java.util.List;
+
+/**
+ * A broken rule.
+ *
+ * @param atUs when
+ * @param what in a sentence
+ * @param trace the entries that show it, in their order
+ */
+public record Violation(Rule rule, long atUs, String what, List<Entry> trace) {
+
+    /** The rules, in the words of what breaks them. */
+    public enum Rule {
+        /** A request that was taken got no final answer in its time. */
+        LOST,
+        /** More than one answer came. */
+        ANSWERED_TWICE,
+        /** A 200 whose body no cocinero made for this request. */
+        MADE_UP,
+        /** Two tries of one request were out at once. */
+        TWO_OUT,
+        /** A request was sent again farther than its class allows. */
+        RESENT,
+        /** A keyed job was started twice within its window. */
+        RAN_TWICE,
+        /** New work went to a cocinero after its drain was told. */
+        DRAIN,
+        /** A cold cocinero was pushed over. */
+        COLD,
+        /** A tenant got more than its quota while another one was refused within its own. */
+        QUOTA,
+        /** A reject was kept back until the client's time was nearly over. */
+        DELAYED,
+        /** A reject does not say when to come again. */
+        NO_RETRY_AFTER,
+        /** A dispatcher ended that nobody told to. */
+        CRASHED
+    }
+
+    @Override
+    public String toString() {
+        return rule + " at " + atUs / 1000 + " ms: " + what;
+    }
+}
--- /dev/null
+++ b/src/main/java/granitefold/standin/world/WorkerSpec.java
@@ -0,0 +1,19 @@
+package granitefold.standin.world;
+
+/**
+ * What a cocinero is.
+ *
+ * @param slots jobs' slots that run at a time
+ * @param speed work that a slot does in a second, in seconds; warm
+ * @param queue jobs that wait at the most; more are turned away
+ * @param coldFrom share of its speed at its start, at the least
+ * @param coldUs from its start until it is warm
+ * @param fallMultiple it falls over when cold and sent more than so many times what it can do at that moment
+ * @param fallUs counted over so long
+ * @param meanWorkUs work of a mean job, in which that is counted
+ * @param keeps keys whose things it keeps; 0: jobs need nothing
+ * @param fetchUs what fetching another one takes while the job holds its slots
+ */
+public record WorkerSpec(int slots, double speed, int queue, double coldFrom, long coldUs, double fallMultiple, long fallUs,
+        double meanWorkUs, int keeps, long fetchUs) {
+}
--- a/src/test/java/granitefold/ArrowsTest.java
+++ b/src/test/java/granitefold/ArrowsTest.java
@@ -14,7 +14,7 @@
     private static final JavaClasses CLASSES = new ClassFileImporter().withImportOption(new ImportOption.DoNotIncludeTests())
             .importPackages("granitefold");
     private static final String[] PURE = {"granitefold.policy..", "granitefold.figures..", "granitefold.core..", "granitefold.availability..", "granitefold.health..",
-        "granitefold.recovery.."};
+        "granitefold.recovery..", "granitefold.rollout.."};
 
     @Test
     void arrowsRunOneWay() {
@@ -46,8 +46,8 @@
         classes().that().resideOutsideOfPackages("granitefold.cli..", "granitefold.standin..").should()
                 .onlyDependOnClassesThat().resideOutsideOfPackages("picocli..", "ch.qos.logback..", "net.logstash..")
                 .check(CLASSES);
-        noClasses().that().doNotHaveSimpleName("OperatorFile").and().doNotHaveSimpleName("Section").and()
-                .resideOutsideOfPackages("granitefold.cli..", "granitefold.standin..").and().haveNameNotMatching(".*\\.(OperatorFile|Section)\\$.*")
+        noClasses().that().doNotHaveSimpleName("OperatorFile").and().doNotHaveSimpleName("HoconFile").and().doNotHaveSimpleName("Section").and()
+                .resideOutsideOfPackages("granitefold.cli..", "granitefold.standin..").and().haveNameNotMatching(".*\\.(OperatorFile|HoconFile|Section)\\$.*")
                 .should().dependOnClassesThat().resideInAnyPackage("com.typesafe..", "org.apache.commons..").check(CLASSES);
     }
 }
--- a/src/test/java/granitefold/operator/OperatorFileFuzz.java
+++ b/src/test/java/granitefold/operator/OperatorFileFuzz.java
@@ -11,7 +11,7 @@
             if (OperatorFile.read("f", new String(bytes, StandardCharsets.UTF_8)).operator() == null) {
                 throw new AssertionError("read as nothing");
             }
-        } catch (OperatorFile.Broken e) {
+        } catch (BrokenFile e) {
             if (e.problems().isEmpty() || !e.problems().stream().allMatch(p -> p.startsWith("f:"))) {
                 throw new AssertionError("problems without a place: " + e.problems());
             }
--- a/src/test/java/granitefold/operator/OperatorFileTest.java
+++ b/src/test/java/granitefold/operator/OperatorFileTest.java
@@ -18,11 +18,11 @@
 /** The operator's file, read, and broken in the ways that files get broken. */
 class OperatorFileTest {
     private static List<String> problems(String text) {
-        return assertThrows(OperatorFile.Broken.class, () -> OperatorFile.read("f.conf", text), text).problems();
+        return assertThrows(BrokenFile.class, () -> OperatorFile.read("f.conf", text), text).problems();
     }
 
     @Test
-    void anEmptyFileTurnsNothingOn() throws OperatorFile.Broken {
+    void anEmptyFileTurnsNothingOn() throws BrokenFile {
         Operator o = OperatorFile.read("f.conf", "").operator();
         assertEquals(Operator.NONE.clients(), o.clients());
         assertFalse(o.tells());
@@ -65,7 +65,7 @@
     }
 
     @Test
-    void thePlatformForbidsProbesAndWins() throws OperatorFile.Broken {
+    void thePlatformForbidsProbesAndWins() throws BrokenFile {
         Operator o = OperatorFile.read("f", "probe.allowed = true").operator();
         assertTrue(o.extras(true).health().probes());
         assertNull(o.extras(false).health());
@@ -74,7 +74,7 @@
     }
 
     @Test
-    void whatARunningProcessCannotTakeOverIsNamed() throws OperatorFile.Broken {
+    void whatARunningProcessCannotTakeOverIsNamed() throws BrokenFile {
         Operator a = OperatorFile.read("f", "checks.agent.listen = \"127.0.0.1:1\"").operator();
         Operator b = OperatorFile.read("f", "checks.agent.listen = \"127.0.0.1:2\"\navailability.rise = 9").operator();
         assertEquals(List.of(), OperatorFile.restartOnly(a, b));
--- /dev/null
+++ b/src/test/java/granitefold/real/PlantedIT.java
@@ -0,0 +1,135 @@
+package granitefold.real;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import granitefold.real.PatchedJar.Patch;
+import granitefold.standin.ground.Play;
+import granitefold.standin.ground.Scenario;
+import granitefold.standin.history.Violation.Rule;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.EnumSet;
+import java.util.Set;
+import java.util.stream.Stream;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Defects planted in the dispatcher, each of which the checker has to find; and the dispatcher as it is, on the same days. */
+public final class PlantedIT {
+    private static final String SMALL = "for = 3s, dispatchers.count = 1, cocineros { count = 3, slots = 4 }, load { rate = 60, retries = 1 }\n";
+    private static final String BUSY = "for = 4s, dispatchers.count = 1, cocineros { count = 2, slots = 4, queue = 500 }, load { rate = 400, retries = 0 }\n"
+            + "classes.ficha { work = 40ms, deadline = 2s }\n";
+    private static final String CLASSES = "classes { unico { work = 150ms, effect = unsafe, on-time = 750ms }\n"
+            + "guardar { work = 150ms, effect = keyed, window = 12s, on-time = 750ms } }\n";
+
+    private static final Object[][] DEFECTS = {
+        {"a job on a silent cocinero goes to another one too", Rule.TWO_OUT, SMALL + "steps = [ { do = hang, to = [s0], at = 500ms } ]",
+            new Patch("policy/SendGate.java", "&& (job.open == 0 || k.set.limits().secondCopies())", "&& job.open < 2")},
+        {"a result is another one", Rule.MADE_UP, SMALL,
+            new Patch("core/Tries.java", "new FinalAnswer.Served(s.result())", "new FinalAnswer.Served(new byte[] {'x'})")},
+        {"a truncated answer is served", Rule.MADE_UP, SMALL + "steps = [ { do = truncate, to = [s0], at = 500ms } ]",
+            new Patch("core/Tries.java", "            end(c.carries, c.state == PeerConnection.State.WAITING ? Outcome.BROKEN : Outcome.UNREACHABLE);",
+                    "            if (!c.carries.context.over) {\n                requests.answer(c.carries.context, new FinalAnswer.Served(new byte[0]));\n            }\n"
+                            + "            end(c.carries, Outcome.SERVED);"),
+            new Patch("core/Tries.java", "            end(t, Outcome.BROKEN);", "            if (!t.context.over) {\n"
+                    + "                requests.answer(t.context, new FinalAnswer.Served(new byte[0]));\n            }\n            end(t, Outcome.SERVED);")},
+        {"one request in twenty is forgotten", Rule.LOST, SMALL,
+            new Patch("core/Requests.java", "        over(c);\n        reply(c.client", "        over(c);\n        if (c.id % 20 == 0) {\n            return;\n"
+                    + "        }\n        reply(c.client")},
+        {"an end in order does not wait for what is owed", Rule.LOST, SMALL + "classes.ficha.work = 300ms, steps = [ { do = end, to = [n0], at = 1s } ]",
+            new Patch("core/Reducer.java", "if (phase == Phase.FINISHING && requests.owed() == 0) {", "if (phase == Phase.DRAINING || phase == Phase.FINISHING) {")},
+        {"some requests are answered twice", Rule.ANSWERED_TWICE, SMALL,
+            new Patch("net/ClientConnection.java", "this::gone), message);", "this::gone), message[0], message[1], message[0].duplicate(),\n"
+                    + "                message[1].duplicate());")},
+        {"drains are not heeded", Rule.DRAIN, "for = 6s, dispatchers.count = 1, cocineros { count = 3, slots = 4 }, load.rate = 60\n"
+                + "steps = [ { do = drain, to = [s0], at = 500ms } ]",
+            new Patch("core/PeerBook.java", "p.state = e.state();", "p.state = State.READY;"),
+            new Patch("core/PeerBook.java", "new Worker(p.id, e.weight(), e.state(),", "new Worker(p.id, e.weight(), State.READY,")},
+        {"cold cocineros are sent what warm ones are", Rule.COLD, "for = 5s, dispatchers.count = 2, load { rate = 400, retries = 0 }\n"
+                + "cocineros { count = 3, slots = 6, cold-from = 0.1, cold-for = 20s, falls-at = 1.2, falls-within = 1s }\n"
+                + "steps = [ { do = replace, to = [s0, s1], at = 1s } ]",
+            new Patch("policy/ColdBudget.java", "        if (!isCold(n, now)) {\n            return true;\n        }",
+                    "        if (now >= 0) {\n            return true;\n        }"),
+            new Patch("policy/ColdBudget.java", "return isCold(n, now) ? from + (1 - from) * age / k.set.rules().coldUs() : 1;", "return 1;")},
+        {"rejects do not say when to come again", Rule.NO_RETRY_AFTER, BUSY,
+            new Patch("wire/HttpMessages.java", "if (rejected.retryAfterUs() > 0) {", "if (rejected.retryAfterUs() < 0) {")},
+        {"rejects are kept back until time is nearly over", Rule.DELAYED, BUSY,
+            new Patch("core/Sink.java", "        finish(request, new FinalAnswer.Rejected(retryAfterUs));",
+                    "        RequestContext c = requests.get(request);\n        core.timers.at(c == null ? core.now : c.moduleDeadline - 50_000,\n"
+                            + "                t -> finish(request, new FinalAnswer.Rejected(retryAfterUs)));")},
+        {"what must not be repeated is", Rule.RESENT, SMALL + CLASSES + "steps = [ { do = break, to = [s0], at = 500ms } ]",
+            new Patch("policy/SendGate.java", "return job.attempts.isEmpty() || type.effect()", "return now > 0 || type.effect()")},
+        {"a key's window is not heeded", Rule.RESENT, "for = 5s, dispatchers.count = 1, cocineros { count = 3, slots = 4 }, load { rate = 40, retries = 0 }\n"
+                + "classes.guardar { work = 50ms, effect = keyed, window = 500ms, on-time = 750ms, deadline = 8s }\n"
+                + "steps = [ { do = hang, to = [s0], at = 1s }, { do = die, to = [s0], at = 3s } ]",
+            new Patch("policy/SendGate.java", "now >= a.sentAt + type.keepUs()", "now < 0")},
+        {"keys are not passed on", Rule.RAN_TWICE, SMALL + CLASSES + "steps = [ { do = truncate, to = [s0], at = 500ms } ]",
+            new Patch("wire/HttpMessages.java", "        head.put(HttpHeader.HOST, address);\n        head.put(ClientRequest",
+                    "        head.put(HttpHeader.HOST, address);\n        head.remove(\"Idempotency-Key\");\n        head.put(ClientRequest")},
+        {"quotas are not kept", Rule.QUOTA, "for = 14s, dispatchers.count = 2, cocineros { count = 3, slots = 4 }, load { rate = 300, retries = 0 }\n"
+                + "tenants { acme { share = 0.6, usage = 0.9 }, otro { share = 0.4, usage = 8 } }",
+            new Patch("policy/Admission.java", "if (tenant < 0 ||", "if (tenant >= 0 ||")},
+        {"it ends by itself", Rule.CRASHED, SMALL,
+            new Patch("core/Requests.java", "        if (owed.size() >= core.bounds.requests()) {", "        if (lastId == 50) {\n            Runtime.getRuntime().halt(3);\n"
+                    + "        }\n        if (owed.size() >= core.bounds.requests()) {")},
+    };
+
+    private final java.util.Map<String, Play> cleared = new java.util.concurrent.ConcurrentHashMap<>();
+    private Path folder;
+
+    @BeforeClass
+    public void folder() throws Exception {
+        folder = Files.createTempDirectory("planted");
+    }
+
+    @AfterClass(alwaysRun = true)
+    public void clear() throws Exception {
+        try (Stream<Path> files = Files.walk(folder)) {
+            files.sorted(Comparator.reverseOrder()).forEach(f -> f.toFile().delete());
+        }
+    }
+
+    @DataProvider(parallel = true)
+    public Object[][] defects() {
+        Object[][] all = new Object[DEFECTS.length][];
+        for (int i = 0; i < all.length; i++) {
+            all[i] = new Object[] {i, DEFECTS[i][0]};
+        }
+        return all;
+    }
+
+    private static Set<Rule> broken(Play p) {
+        Set<Rule> rules = EnumSet.noneOf(Rule.class);
+        p.violations().forEach(v -> rules.add(v.rule()));
+        return rules;
+    }
+
+    @Test(dataProvider = "defects")
+    public void isFoundAndTheBuiltProgramIsCleared(int number, String what) throws Exception {
+        Object[] d = DEFECTS[number];
+        Patch[] patches = Stream.of(d).skip(3).toArray(Patch[]::new);
+        Scenario scenario = Scenario.read("planted" + number, (String) d[2]);
+        Path jar = PatchedJar.make(folder, "defect" + number, patches);
+        Play bad = Play.run(scenario, 7, jar, r -> { });
+        assertEquals(bad.failed(), null);
+        assertTrue(broken(bad).contains(d[1]), what + ": found " + bad.violations() + ", " + bad.tallies().all().asked + " asked");
+        // several defects are shown on one day, which the built program plays once
+        Play good = cleared.computeIfAbsent((String) d[2], text -> play(scenario));
+        assertEquals(good.failed(), null);
+        assertTrue(good.violations().isEmpty(), what + ": the built program too: " + good.violations());
+    }
+
+    private static Play play(Scenario scenario) {
+        try {
+            return Play.run(scenario, 7, Path.of("target/granitefold.jar"), r -> { });
+        } catch (java.io.IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
