A process that was started with SIGHUP ignored says that it cannot read its files anew

The JVM keeps a SIGHUP that was ignored at its start ignored, by design. Ruled out: the program's change of state on SIGHUP, lists refused as older (no 'not taken in' in any log), silent watches (none).

RunScriptIT starts the program both ways.

--- a/src/main/java/granitefold/cli/Serve.java
+++ b/src/main/java/granitefold/cli/Serve.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /** Runs one real dispatcher until it is told to end. */
 public final class Serve {
@@ -55,13 +56,17 @@
     private void start() throws Exception {
         // before all else: unhandled, the signal ends the JVM
         CompletableFuture<Serve> started = new CompletableFuture<>();
-        Signal.handle(new Signal("HUP"), signal -> started.thenAccept(Serve::reload));
+        SignalHandler before = Signal.handle(new Signal("HUP"), signal -> started.thenAccept(Serve::reload));
         if (operatorFile != null) {
             operator = OperatorFile.read(operatorFile).operator();
             if (operator.log().json()) {
                 JsonLines.begin();
             }
         }
+        if (before == SignalHandler.SIG_IGN) {
+            // whoever started us had it ignored, as nohup has; the JVM leaves it so, and a move of discovery would go unnoticed
+            EventLog.log(LogEvent.RELOAD_OFF);
+        }
         Config platform = Config.read(config);
         loop = new Loop(platform, operator);
         if (operator.state() != null) {
--- a/src/main/java/granitefold/logging/LogEvent.java
+++ b/src/main/java/granitefold/logging/LogEvent.java
@@ -14,6 +14,7 @@
     DISCOVERY_ENDED("discovery.ended", Level.INFO, "discovery: watch ended: {}", "reason"),
     CONFIGURATION_READ("configuration.read", Level.INFO, "configuration: read anew, discovery at {}", "discovery"),
     CONFIGURATION_KEPT("configuration.kept", Level.WARN, "configuration: kept as it was: {}", "reason"),
+    RELOAD_OFF("reload.off", Level.WARN, "configuration: SIGHUP was ignored when this process was started (by nohup?), so nothing is read anew"),
     OPERATOR_READ("operator.read", Level.INFO, "operator: read anew from {}", "file"),
     OPERATOR_KEPT("operator.kept", Level.WARN, "operator: kept as it was: {}", "reason"),
     OPERATOR_RESTART("operator.restart", Level.WARN, "operator: {} takes effect at the next start", "key"),
--- a/src/test/java/granitefold/real/RunScriptIT.java
+++ b/src/test/java/granitefold/real/RunScriptIT.java
@@ -77,6 +77,23 @@
         }
     }
 
+    /** A fleet test started under nohup lost every move of discovery without a word, and went on sending to drained peers. */
+    @Test
+    public void whoCannotBeToldToReadAnewSaysSo() throws Exception {
+        assertTrue(saidBefore("trap '' HUP; ").contains("SIGHUP was ignored"));
+        assertFalse(saidBefore("").contains("SIGHUP was ignored"));
+    }
+
+    /** What the program says before it ends on a configuration that is missing. */
+    private static String saidBefore(String shell) throws IOException, InterruptedException {
+        ProcessBuilder b = new ProcessBuilder("/bin/sh", "-c", shell + RealProgram.run()).redirectErrorStream(true);
+        b.environment().put("LB_CONFIG", "/missing");
+        Process p = b.start();
+        String said = new String(p.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertEquals(p.waitFor(), 2, said);
+        return said;
+    }
+
     private static String target(Path fd) {
         try {
             return Files.readSymbolicLink(fd).toString();
