A rolling change in stages: keepers, a controller, and an end when a stage does worse

Why: a change of version went to all dispatchers at once and blind.

Change: granitefold.rollout, pure: Rollout (stages, old ones started anew beside the new ones, a verdict from differences at the same time on the same traffic by a confidence sequence), Keeper (one dispatcher, one version, each order once), orders with a number that only grows. Fronts in granitefold.cli.rollout: 'granitefold keep', 'granitefold rollout plan | start | status | pause | resume | pass | stop | back', files written whole with a checksum.

Seen and mended on the way, each by a story with processes: a keeper that came back ended its own dispatcher (it asked its machine before that had begun: KeeperServer.begin); a dispatcher whom no client came to counted as one that serves nothing (the figure 'answers' is gone, the time in the dispatcher says it); one look a second at what a dispatcher holds told nothing of time on a small fleet (interval +-0.5 at a margin of 0.22; keepers now add it up twenty times a second).

--- a/src/main/java/granitefold/cli/rollout/KeeperServer.java
+++ b/src/main/java/granitefold/cli/rollout/KeeperServer.java
@@ -77,7 +77,7 @@
 
     /** What a keeper before this one left running: one may serve on, any other one would be a version that nobody knows of. */
     private void begin() throws InterruptedException {
-        long serves = keeper.record().serving();
+        long serves = keeper.servedBefore();
         boolean alive = false;
         for (KeptProcess p : KeptProcess.find(file)) {
             if (p.life == serves && !alive) {
@@ -141,7 +141,7 @@
         }));
     }
 
-    /** Asks a process that is coming up whether it serves. */
+    /** Asks a process that is coming up whether it serves, and looks what the one that serves holds. */
     private void watch() {
         try {
             while (true) {
@@ -149,6 +149,10 @@
                 if (p != null && p.serves()) {
                     queue.add(() -> take(new KeeperEvent.Serves(p.life)));
                 }
+                KeptProcess q = serving;
+                if (q != null) {
+                    q.watch();
+                }
                 Thread.sleep(TICK_MS / 2);
             }
         } catch (InterruptedException e) {
--- a/src/main/java/granitefold/cli/rollout/KeptProcess.java
+++ b/src/main/java/granitefold/cli/rollout/KeptProcess.java
@@ -30,7 +30,10 @@
     final long life;
     final ProcessHandle handle;
     private final Path log;
-    private InetSocketAddress ops;
+    private volatile InetSocketAddress ops;
+    private volatile double heldS;
+    private volatile double watchedS;
+    private long watchedAt;
 
     private KeptProcess(long life, ProcessHandle handle, Path log) {
         this.life = life;
@@ -94,12 +97,29 @@
             Map<String, Sample.Counts> classes = new LinkedHashMap<>();
             vars.path("replies").fields().forEachRemaining(e -> classes.put(e.getKey(), new Sample.Counts(e.getValue().path("success").asLong(),
                     e.getValue().path("overload").asLong(), e.getValue().path("error").asLong())));
-            return new Sample(life, classes, vars.path("dispatches").asLong(), vars.path("concurrent").asInt(), rssKb());
+            return new Sample(life, classes, vars.path("dispatches").asLong(), heldS, watchedS, rssKb());
         } catch (IOException e) {
             return null;
         }
     }
 
+    /** Adds up what it holds: one look tells little where it is a few requests. From one thread. */
+    void watch() {
+        try {
+            int now = CheckedFile.JSON.readTree(ask("vars")).path("concurrent").asInt();
+            long at = System.nanoTime();
+            if (watchedAt != 0) {
+                double s = (at - watchedAt) / 1e9;
+                heldS = heldS + now * s;
+                watchedS = watchedS + s;
+            }
+            watchedAt = at;
+        } catch (IOException e) {
+            // it tells nothing now: the time until it does is not counted
+            watchedAt = 0;
+        }
+    }
+
     private long rssKb() {
         try {
             Matcher m = RSS.matcher(Files.readString(Path.of("/proc/" + handle.pid() + "/status")));
--- a/src/main/java/granitefold/cli/rollout/PlanFile.java
+++ b/src/main/java/granitefold/cli/rollout/PlanFile.java
@@ -49,7 +49,7 @@
         }
         Margins margins = new Margins(borne.number("alpha", d.alpha(), 1e-6, 0.5), borne.number("served", d.served(), 0.0001, 1),
                 borne.number("refused", d.refused(), 0.0001, 1), borne.number("errors", d.errors(), 0.0001, 1), borne.number("time", d.time(), 1.01, 100),
-                borne.number("answers", d.answers(), 1.01, 100), borne.number("memory", d.memory(), 1.01, 100), borne.whole("crashes", d.crashes(), 0, 1000), worth);
+                borne.number("memory", d.memory(), 1.01, 100), borne.whole("crashes", d.crashes(), 0, 1000), worth);
         int count = Math.max(1, keepers.size());
         List<Integer> stages = stages(all.texts("stages", "a count or a share, as 1 or 10%", t -> t.matches("\\d{1,6}|\\d{1,3}%|all")), count);
         Plan plan = new Plan(all.text("name", "", "a word for people", t -> t.matches("[!-~]{1,64}")), List.copyOf(keepers.keySet()), stages,
--- a/src/main/java/granitefold/cli/rollout/RolloutReport.java
+++ b/src/main/java/granitefold/cli/rollout/RolloutReport.java
@@ -25,7 +25,7 @@
             for (Finding f : findings) {
                 b.append(String.format(Locale.ROOT, "%-24s %9.4f %9.4f %9.4f %8.4f %7d%n", f.figure(), f.harm(), f.lower(), f.upper(), f.margin(), f.blocks()));
             }
-            b.append("shares as they are; time, answers and memory as the logarithm of a ratio\n\n");
+            b.append("shares as they are; time and memory as the logarithm of a ratio\n\n");
         }
         p.log().forEach(l -> b.append(l).append('\n'));
         return b.toString();
--- a/src/main/java/granitefold/rollout/Evidence.java
+++ b/src/main/java/granitefold/rollout/Evidence.java
@@ -17,18 +17,33 @@
     static final int ANSWERS = 20;
     /** Stretches at which the intervals are to be tightest. */
     private static final int TIGHTEST = 30;
-    /** Stretches without a whole answer on one side while the other gave this many: it serves nothing. */
+    /** So many answers on one side end a stretch, however few the other gave. */
     private static final int SILENT = 200;
+    /** A dispatcher that holds so many requests and answers none is at fault. */
+    private static final int HOLDS = 5;
+    /** Lest a moment without any request make a logarithm of nothing. */
+    private static final double LEAST_HELD = 0.1;
     private static final double LN_NOISE = 0.0025;
 
     /** What has been counted and not yet compared. */
     private static final class Side {
         final Map<String, Sample.Counts> classes = new TreeMap<>();
-        double concurrent;
+        double held;
+        double watched;
         double rss;
         int samples;
         int dispatchers;
 
+        /** Whether it has answers enough for a mean, or holds requests that get none. Who is hardly asked tells nothing. */
+        boolean tellsTime() {
+            return answers() >= ANSWERS || watched > 0 && held / watched >= HOLDS;
+        }
+
+        /** Little's law: the mean time in the dispatcher is what it holds over what it answers a second. */
+        double time(double seconds) {
+            return (held / watched + LEAST_HELD) / ((answers() + 0.5) / seconds / dispatchers);
+        }
+
         long answers() {
             return classes.values().stream().mapToLong(Sample.Counts::all).sum();
         }
@@ -47,8 +62,8 @@
     public Evidence(Margins margins, Collection<String> classes) {
         this.margins = margins;
         this.classes = List.copyOf(classes);
-        // served, time, answers, memory; refused and errors of each class: together they err no more often than one may
-        alphaEach = margins.alpha() / (4 + 2 * this.classes.size());
+        // served, time, memory; refused and errors of each class: together they err no more often than one may
+        alphaEach = margins.alpha() / (3 + 2 * this.classes.size());
     }
 
     /**
@@ -91,7 +106,8 @@
             }
             s.classes().forEach((c, counts) -> side.classes.merge(c, counts.minus(before.classes().getOrDefault(c, Sample.Counts.NONE)),
                     Sample.Counts::plus));
-            side.concurrent += s.concurrent();
+            side.held += s.heldS() - before.heldS();
+            side.watched += s.watchedS() - before.watchedS();
             side.rss += s.rssKb();
             side.samples++;
         });
@@ -105,14 +121,10 @@
         double oldShare = served(old);
         if (fresh.answers() > 0 && old.answers() > 0) {
             add("served", oldShare - freshShare, chance(freshShare, oldShare, fresh.answers(), old.answers()));
-            // Little's law: the mean time in the dispatcher is what it holds over what it answers a second
-            double freshTime = (fresh.concurrent / fresh.samples + 0.5) / (fresh.answers() / seconds / fresh.dispatchers);
-            double oldTime = (old.concurrent / old.samples + 0.5) / (old.answers() / seconds / old.dispatchers);
-            add("time", Math.log(freshTime / oldTime), 1.0 / fresh.answers() + 1.0 / old.answers() + LN_NOISE);
         }
-        double freshRate = (fresh.answers() + 0.5) / fresh.dispatchers;
-        double oldRate = (old.answers() + 0.5) / old.dispatchers;
-        add("answers", Math.log(oldRate / freshRate), 1 / (fresh.answers() + 1.0) + 1 / (old.answers() + 1.0) + LN_NOISE);
+        if (fresh.watched > 0 && old.watched > 0 && fresh.tellsTime() && old.tellsTime()) {
+            add("time", Math.log(fresh.time(seconds) / old.time(seconds)), 1 / (fresh.answers() + 1.0) + 1 / (old.answers() + 1.0) + LN_NOISE);
+        }
         if (fresh.rss > 0 && old.rss > 0) {
             add("memory", Math.log(fresh.rss / fresh.samples * old.samples / old.rss), LN_NOISE);
         }
@@ -159,7 +171,6 @@
             case "refused" -> margins.refused();
             case "errors" -> margins.errors();
             case "time" -> Math.log(margins.time());
-            case "answers" -> Math.log(margins.answers());
             default -> Math.log(margins.memory());
         };
     }
--- a/src/main/java/granitefold/rollout/Keeper.java
+++ b/src/main/java/granitefold/rollout/Keeper.java
@@ -75,6 +75,11 @@
         return new KeeperRecord(seen, done, failed, why, settled, wanted, crashes, lives, serving == null ? 0 : serving.number);
     }
 
+    /** Life of the process that served when the record was kept, before {@link KeeperEvent.Begin}; 0 for none. */
+    public long servedBefore() {
+        return servedBefore;
+    }
+
     /** What is told of it; {@code sample}: figures of the process that serves, or null. */
     public KeeperStatus status(Sample sample) {
         return new KeeperStatus(seen, done, failed, why, serving == null ? "" : serving.version.label(), serving != null, crashes,
--- a/src/main/java/granitefold/rollout/Margins.java
+++ b/src/main/java/granitefold/rollout/Margins.java
@@ -10,14 +10,13 @@
  * @param refused share of a class's answers that may be refused more
  * @param errors share of a class's answers that may fail more
  * @param time ratio of the mean time in the dispatcher that is borne: 1.2 is a fifth longer
- * @param answers ratio of the answers given a second that is borne: 1.5 is a third less
  * @param memory ratio of memory that is borne
  * @param crashes ends by themselves of new ones beyond those of old ones
  * @param worth worth of a request by class; one of none counts 1
  */
-public record Margins(double alpha, double served, double refused, double errors, double time, double answers, double memory, int crashes,
+public record Margins(double alpha, double served, double refused, double errors, double time, double memory, int crashes,
         Map<String, Double> worth) {
-    public static final Margins DEFAULTS = new Margins(0.05, 0.02, 0.03, 0.02, 1.25, 1.6, 1.4, 0, Map.of());
+    public static final Margins DEFAULTS = new Margins(0.05, 0.02, 0.03, 0.02, 1.25, 1.4, 0, Map.of());
 
     double worthOf(String jobClass) {
         return worth.getOrDefault(jobClass, 1.0);
--- a/src/main/java/granitefold/rollout/Sample.java
+++ b/src/main/java/granitefold/rollout/Sample.java
@@ -8,10 +8,11 @@
  * @param life number of the process since the keeper began; counts of two lives are not compared
  * @param classes final answers by class
  * @param tries tries whose request was written whole to a peer
- * @param concurrent requests taken that have no answer yet
+ * @param heldS what it held, added up over time: requests taken that have no answer yet, times seconds
+ * @param watchedS seconds over which that was added up
  * @param rssKb memory of the process that the machine holds for it, in kilobytes; 0 where it is not known
  */
-public record Sample(long life, Map<String, Counts> classes, long tries, int concurrent, long rssKb) {
+public record Sample(long life, Map<String, Counts> classes, long tries, double heldS, double watchedS, long rssKb) {
 
     /** Answers of one class. */
     public record Counts(long success, long overload, long error) {
--- a/src/main/java/granitefold/standin/edge/Edge.java
+++ b/src/main/java/granitefold/standin/edge/Edge.java
@@ -17,7 +17,9 @@
         /** A dispatcher to its discovery agent. */
         DISCOVERY,
         /** A dispatcher to another, by datagram. */
-        SIBLING
+        SIBLING,
+        /** A rollout's controller to a dispatcher's keeper. */
+        CONTROL
     }
 
     /** Whether the edge joins a party of one group with one of the other. */
--- a/src/main/java/granitefold/standin/ground/Clients.java
+++ b/src/main/java/granitefold/standin/ground/Clients.java
@@ -17,6 +17,7 @@
 import java.util.Map;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
@@ -35,6 +36,8 @@
     private static final int CONNECT_MS = 1000, BODY_MOST = 64;
     /** How much longer than its time a client listens, so that a late answer is seen. */
     static final long LISTENS_MS = 1500;
+    /** Share of answers after which a client closes its connection. */
+    private static final double CHURN = 0.05;
     private static final long BACKOFF_MS = 30, HONOURED_MS = 2000;
 
     /** What one request asks for, drawn before it is due. */
@@ -282,7 +285,8 @@
             what = e.begun ? What.CUT : What.UNHEARD;
         }
         history.add(new Entry(history.now(), what, "client", k.member.name, txn, key, w.jobClass, w.tenant, null, status, text));
-        boolean keep = what == What.ANSWERED && !"close".equals(e.head.get("connection"));
+        // some connections end for reasons of their own, so that the front can spread them anew
+        boolean keep = what == What.ANSWERED && !"close".equals(e.head.get("connection")) && ThreadLocalRandom.current().nextDouble() >= CHURN;
         if (keep) {
             synchronized (idle) {
                 idle.add(k);
--- a/src/main/java/granitefold/standin/ground/Disorder.java
+++ b/src/main/java/granitefold/standin/ground/Disorder.java
@@ -86,6 +86,11 @@
                     }
                 }
             }
+            case "kill-keeper" -> {
+                for (Member m : hit) {
+                    m.killKeeper();
+                }
+            }
             case "stop", "continue" -> {
                 for (Member m : hit) {
                     m.signal(action.equals("stop") ? "STOP" : "CONT");
--- a/src/main/java/granitefold/standin/ground/Member.java
+++ b/src/main/java/granitefold/standin/ground/Member.java
@@ -32,6 +32,10 @@
     private final ObjectNode config;
     private final String operator;
     private final boolean beside;
+    private final boolean kept;
+    /** Where its keeper listens, and where a controller finds it: past a relay. */
+    final InetSocketAddress keeper;
+    volatile InetSocketAddress control;
     private Path jar;
     private final List<Life> lives = new ArrayList<>();
     /** Where the front finds it: set once the relay is there. */
@@ -76,9 +80,11 @@
         this.history = history;
         this.jar = jar;
         beside = set.beside();
+        kept = set.kept();
         InetAddress own = InetAddress.getByAddress(new byte[] {127, 20, 0, (byte) (number + 1)});
         listen = free(own);
         siblings = free(own);
+        keeper = free(own);
         operator = "control.socket = \"" + socket() + "\"\n"
                 + (set.state() ? "state.dir = \"" + Files.createDirectories(stateFolder()) + "\"\nstate.every = 200ms\n" : "") + set.operator();
     }
@@ -133,7 +139,10 @@
             config.put("ops", listen.getAddress().getHostAddress() + ":0");
         }
         writeConfig();
-        Path log = folder.resolve("log-" + lives.size());
+        Path log = folder.resolve("log-of-life-" + lives.size());
+        if (kept) {
+            return begin(log, keeperLine());
+        }
         List<String> line = new ArrayList<>(List.of("java", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx96m", "-Xss512k", "-Xshare:auto",
                 "-XX:-UsePerfData", "-Djava.net.preferIPv4Stack=true", "-jar", jar.toString(), "serve", "--config", configFile().toString()));
         if (!beside || lives.isEmpty()) {
@@ -141,6 +150,34 @@
             Files.writeString(file, operator);
             line.addAll(List.of("--operator", file.toString()));
         }
+        return begin(log, line);
+    }
+
+    /** A keeper that has its folder inside ours, and begins with our jar. */
+    private List<String> keeperLine() throws IOException {
+        Path file = folder.resolve("keeper.conf");
+        Files.writeString(file, "name = " + name + "\nlisten = \"" + text(keeper) + "\"\nfolder = \"" + keeperFolder() + "\"\nconfig = \"" + configFile()
+                + "\"\nversion { label = old, jar = \"" + jar.toAbsolutePath() + "\" }\n");
+        return List.of("java", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx48m", "-Xshare:auto", "-jar", jar.toString(), "keep", file.toString());
+    }
+
+    private Path keeperFolder() {
+        return folder.resolve("keeper");
+    }
+
+    /** Processes of a kept dispatcher that live; its keeper marks them. */
+    private List<ProcessHandle> keptProcesses() {
+        String mark = "=" + keeperFolder() + "#";
+        return ProcessHandle.allProcesses().filter(p -> p.info().arguments().map(List::of).orElse(List.of()).stream().anyMatch(a -> a.contains(mark))).toList();
+    }
+
+    /** The jars that its processes run, by their command lines. */
+    List<String> jars() {
+        return keptProcesses().stream().map(p -> List.of(p.info().arguments().orElse(new String[0]))).filter(a -> a.contains("-jar"))
+                .map(a -> a.get(a.indexOf("-jar") + 1)).toList();
+    }
+
+    private Life begin(Path log, List<String> line) throws IOException {
         ProcessBuilder b = new ProcessBuilder(line).redirectErrorStream(true).redirectOutput(log.toFile());
         b.environment().put("TMPDIR", folder.toString());
         Life life = new Life(b.start(), log, jar);
@@ -157,7 +194,7 @@
         if (life == null || !life.process.isAlive()) {
             throw new IOException("it has ended");
         }
-        if (beside) {
+        if (beside && !kept) {
             return ask(life, "check").get(0).startsWith("ACK");
         }
         try (Exchange e = Exchange.open(listen, CHECK_MS)) {
@@ -186,9 +223,20 @@
     }
 
     void kill() {
-        life().toldToEnd = true;
         history.add(What.PROCESS, name, "killed");
-        life().process.destroyForcibly();
+        if (kept) {
+            keptProcesses().forEach(ProcessHandle::destroyForcibly);
+        } else {
+            life().toldToEnd = true;
+            life().process.destroyForcibly();
+        }
+    }
+
+    /** Kills its keeper and starts another one; the dispatcher goes on. */
+    void killKeeper() throws IOException, InterruptedException {
+        life().toldToEnd = true;
+        life().process.destroyForcibly().waitFor();
+        start();
     }
 
     /** Told to end in order. */
@@ -198,6 +246,29 @@
         life().process.destroy();
     }
 
+    /** The day is over: ended in order, a kept one after its keeper. */
+    void end() {
+        if (kept) {
+            life().toldToEnd = true;
+            life().process.destroyForcibly().onExit().join();
+            keptProcesses().forEach(ProcessHandle::destroy);
+        } else {
+            terminate();
+        }
+    }
+
+    /** Whether it and all that was started for it has ended in time. */
+    boolean awaitGone(long seconds) throws InterruptedException {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
+        while (kept && !keptProcesses().isEmpty()) {
+            if (System.nanoTime() - until > 0) {
+                return false;
+            }
+            Thread.sleep(CHECK_MS / 100);
+        }
+        return awaitExit(seconds);
+    }
+
     boolean awaitExit(long seconds) throws InterruptedException {
         return life().process.waitFor(seconds, TimeUnit.SECONDS);
     }
@@ -230,6 +301,11 @@
             l.toldToEnd = true;
             l.process.destroyForcibly();
         }
+        if (kept) {
+            // without their keeper, lest it start the next one
+            lives.forEach(l -> l.process.onExit().join());
+            keptProcesses().forEach(ProcessHandle::destroyForcibly);
+        }
         for (Life l : lives) {
             try {
                 l.process.waitFor(PATIENCE_S, TimeUnit.SECONDS);
--- /dev/null
+++ b/src/main/java/granitefold/standin/ground/Rolling.java
@@ -0,0 +1,171 @@
+package granitefold.standin.ground;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import granitefold.standin.history.Checker;
+import granitefold.standin.history.Violation;
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** A ground whose dispatchers have keepers, and a controller that takes them from one version to another, as processes. */
+public final class Rolling implements Closeable {
+    private static final long SLACK_MS = 550;
+
+    /** How a plan is played here; times in seconds. */
+    public record Pace(String stages, double warm, double least, double most, double step, boolean back, boolean controls) {
+        /** Fit for a test: looks are short, and the comparison needs some thirty seconds at most. */
+        public static final Pace TEST = new Pace("\"1\", all", 2, 6, 40, 12, true, true);
+    }
+
+    /** What a rollout came to. {@code exit}: the controller's status; {@code seconds}: from its start to its end. */
+    public record Result(int exit, String state, String verdict, int stage, List<String> labels, double seconds, String report) { }
+
+    private final Ground ground;
+    private final Path folder;
+    private final Path jar;
+    private final List<Process> controllers = new ArrayList<>();
+    private Path plan;
+    private long startedUs;
+
+    public Rolling(Scenario scenario, long seed, Path jar) throws IOException, InterruptedException {
+        this.jar = jar;
+        ground = new Ground(scenario, seed, jar);
+        folder = Files.createDirectories(ground.folder.resolve("rollout"));
+        try {
+            ground.start();
+        } catch (IOException | InterruptedException | RuntimeException e) {
+            ground.close();
+            throw e;
+        }
+        ground.clients.begin();
+    }
+
+    public long served() {
+        return ground.clients.served();
+    }
+
+    /** Waits until so many more requests were served. */
+    public void awaitServed(long more) throws InterruptedException {
+        long wanted = served() + more;
+        Await.until(wanted + " requests served", Member.PATIENCE_S, () -> served() >= wanted, this::lastLines);
+    }
+
+    /** Writes the plan to another version; {@code numbered}: a name of its own gives it a folder of its own. */
+    public void plan(String name, Path fresh, Pace pace) throws IOException {
+        StringBuilder b = new StringBuilder("name = " + name + "\nfolder = \"" + folder.resolve(name) + "\"\ndispatchers = [\n");
+        for (Member m : ground.members) {
+            b.append("  { name = ").append(m.name).append(", keeper = \"").append(Member.text(m.control)).append("\" }\n");
+        }
+        b.append("]\nold { label = old, jar = \"").append(jar.toAbsolutePath()).append("\" }\nnew { label = new, jar = \"").append(fresh.toAbsolutePath())
+                .append("\" }\nstages = [").append(pace.stages).append("]\nlook { warm = ").append(ms(pace.warm)).append(", least = ").append(ms(pace.least))
+                .append(", most = ").append(ms(pace.most)).append(" }\nstep = ").append(ms(pace.step)).append("\nworse = ").append(pace.back ? "back" : "stop")
+                .append("\ncontrols = ").append(pace.controls).append("\nclasses = [").append(String.join(", ", ground.scenario.classes().keySet())).append("]\n");
+        plan = folder.resolve(name + ".plan");
+        Files.writeString(plan, b);
+    }
+
+    private static String ms(double seconds) {
+        return Math.round(seconds * 1000) + "ms";
+    }
+
+    /** Starts a controller on the plan. */
+    public Process start() throws IOException {
+        startedUs = controllers.isEmpty() ? ground.history.now() : startedUs;
+        Process p = command(folder.resolve("controller-" + controllers.size() + ".log"), "start");
+        controllers.add(p);
+        return p;
+    }
+
+    private Process command(Path log, String word, String... more) throws IOException {
+        List<String> line = new ArrayList<>(List.of("java", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m", "-Xshare:auto", "-jar", jar.toString(),
+                "rollout", word, plan.toString()));
+        line.addAll(List.of(more));
+        return new ProcessBuilder(line).redirectErrorStream(true).redirectOutput(log.toFile()).start();
+    }
+
+    /** Says a word to the rollout, as an operator does; its status. */
+    public int say(String word) throws IOException, InterruptedException {
+        Process p = command(folder.resolve("word.log"), word);
+        return p.waitFor();
+    }
+
+    /** How it stands, by {@code rollout status --json}. */
+    public JsonNode status() throws IOException, InterruptedException {
+        Path out = folder.resolve("status.log");
+        command(out, "status", "--json").waitFor();
+        return Settings.JSON.readTree(Files.readAllBytes(out));
+    }
+
+    /** Waits until the controller's log has a text. */
+    public void awaitLog(String part) throws InterruptedException {
+        Path log = folder.resolve("controller-" + (controllers.size() - 1) + ".log");
+        Await.until("'" + part + "' in the controller's log", 2 * Member.PATIENCE_S, () -> Files.readString(log).contains(part), this::lastLines);
+    }
+
+    public String lastLines() {
+        StringBuilder b = new StringBuilder();
+        try {
+            for (int i = 0; i < controllers.size(); i++) {
+                b.append("controller ").append(i).append(":\n").append(Files.readString(folder.resolve("controller-" + i + ".log")));
+            }
+        } catch (IOException e) {
+            b.append(e);
+        }
+        ground.members.forEach(m -> b.append(m.lastLines()).append('\n'));
+        return b.toString();
+    }
+
+    /** A step of a scenario, now. */
+    public void disturb(String step) throws Exception {
+        Scenario s = Scenario.read("step", "steps = [ " + step + " ]");
+        new Script(ground).now(s.steps().get(0));
+    }
+
+    /** Waits for the controller's end. */
+    public Result result(long seconds) throws IOException, InterruptedException {
+        Process p = controllers.get(controllers.size() - 1);
+        if (!p.waitFor(seconds, TimeUnit.SECONDS)) {
+            throw new IllegalStateException("the rollout has no end after " + seconds + " s\n" + lastLines());
+        }
+        double took = (ground.history.now() - startedUs) / 1e6;
+        JsonNode s = status();
+        List<String> labels = new ArrayList<>();
+        for (Member m : ground.members) {
+            labels.add(label(m));
+        }
+        Path report = plan.resolveSibling(plan.getFileName().toString().replace(".plan", "")).resolve("report.txt");
+        return new Result(p.exitValue(), s.path("state").asText(), s.path("verdict").asText(), s.path("stage").asInt(), labels, took,
+                Files.exists(report) ? Files.readString(report) : "");
+    }
+
+    /** Which version the processes of a dispatcher run, by their command lines; several where there are several. */
+    private String label(Member m) {
+        List<String> jars = m.jars();
+        return String.join("+", jars.stream().map(j -> j.equals(jar.toAbsolutePath().toString()) ? "old" : "new").toList());
+    }
+
+    /** Ends the load and the fleet, and judges what was seen. */
+    public List<Violation> end() throws InterruptedException {
+        ground.clients.stop();
+        Await.until("the last client's answer", 2 * Member.PATIENCE_S, ground.clients::over, this::lastLines);
+        ground.end();
+        return Checker.check(ground.scenario.terms(SLACK_MS), ground.history.sorted());
+    }
+
+    public Tallies tallies() {
+        return ground.clients.tallies;
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (Process p : controllers) {
+            p.destroyForcibly();
+            p.onExit().join();
+        }
+        ground.close();
+    }
+}
--- a/src/main/java/granitefold/standin/ground/Scenario.java
+++ b/src/main/java/granitefold/standin/ground/Scenario.java
@@ -31,8 +31,9 @@
      * @param state each has a folder that lasts
      * @param beside they have a second address, so that another version may be started beside each
      * @param talk they may send each other datagrams
+     * @param kept each has a keeper that starts it and changes its version
      */
-    public record Dispatchers(int count, int memoryMb, long noticeUs, String operator, boolean state, boolean beside, boolean talk) { }
+    public record Dispatchers(int count, int memoryMb, long noticeUs, String operator, boolean state, boolean beside, boolean talk, boolean kept) { }
 
     /** The cocineros, all alike but for their speed, which is drawn around the mean by a share. */
     public record Cocineros(int count, WorkerSpec spec, double spread) { }
@@ -61,7 +62,7 @@
     public record Drawn(int count, long fromUs, long untilUs, List<String> of, long lastsUs) { }
 
     /** The actions of steps. */
-    static final List<String> ACTIONS = List.of("kill", "stop", "continue", "end", "start", "restart", "reload", "cut", "cut-there", "cut-back",
+    static final List<String> ACTIONS = List.of("kill", "kill-keeper", "stop", "continue", "end", "start", "restart", "reload", "cut", "cut-there", "cut-back",
             "delay", "lose", "drip", "refuse", "reset", "heal", "slow", "hang", "stick", "fail", "truncate", "break", "well", "drain",
             "remove", "replace", "die", "discovery-down", "discovery-up", "rate", "tenant-rate", "state-lost", "state-cut", "state-aged",
             "state-swapped", "state-kept", "state-back");
@@ -100,7 +101,7 @@
         Scenario s = new Scenario(name, all.text("about", "", "a sentence", t -> true), all.time("for", 10_000_000, 500, 60 * MINUTE_MS),
                 new Dispatchers(d.whole("count", 2, 1, DISPATCHERS_MOST), d.whole("memory-mb", 160, 64, 1024),
                         d.time("front-notice", 1_500_000, 0, MINUTE_MS), d.text("operator", "", "the text of an operators' file", t -> true),
-                        d.yes("state", false), d.yes("beside", false), d.yes("talk", true)),
+                        d.yes("state", false), d.yes("beside", false), d.yes("talk", true), d.yes("kept", false)),
                 cocineros(c, meanWork),
                 new Load(l.number("rate", 60, 0.1, 5000), l.whole("retries", 2, 0, 10), l.number("impatient", 0, 0, 1),
                         l.number("honour", 0.8, 0, 1)),
@@ -139,7 +140,7 @@
                     s.time("at", 0, 0, 60 * MINUTE_MS), s.text("when", "", "ready NAME, exited NAME or served COUNT",
                             t -> t.matches("(ready|exited) \\S+|served \\d+")),
                     s.texts("to", "names of dispatchers, cocineros or tenants", t -> t.matches("\\S+")), between,
-                    s.texts("edges", "client, peer, discovery, sibling", t -> List.of("client", "peer", "discovery", "sibling").contains(t)),
+                    s.texts("edges", "client, peer, discovery, sibling, control", t -> List.of("client", "peer", "discovery", "sibling", "control").contains(t)),
                     s.number("amount", 0, 0, 1e9), s.time("lasts", 0, 0, 60 * MINUTE_MS));
             if (step.action.isEmpty()) {
                 s.reject("do", "a step has to say what it does");
--- a/src/main/java/granitefold/standin/ground/Script.java
+++ b/src/main/java/granitefold/standin/ground/Script.java
@@ -119,6 +119,11 @@
         marks.add(new Mark(ground.clients.sinceUs(), what));
     }
 
+    /** Performs a step at once, and does not undo it. */
+    void now(Scenario.Step s) throws IOException, InterruptedException {
+        perform(s);
+    }
+
     // ---------------------------------------------------------------- actions
     private void perform(Scenario.Step s) throws IOException, InterruptedException {
         mark(s.action() + (s.to().isEmpty() ? "" : " " + String.join(" ", s.to()))
