--- a/src/main/java/granitefold/policy/PeerMessage.java
+++ b/src/main/java/granitefold/policy/PeerMessage.java
@@ -5,7 +5,9 @@
 /**
  * The bytes that dispatchers send each other: one of magic and version, entries of varints, a check byte. An even
  * number begins a bucket's entry (twice the tenant, then owner, count, credit), a 1 begins a worker's (id, the
- * sender's queued work there, slots held). What is in a message is chosen and used by {@link Decide}.
+ * sender's queued work there, slots held). Another odd number begins an entry of a later version, of four numbers as well:
+ * it is skipped, so that neighbours of two versions go on hearing the rest. What is in a message is chosen and used by
+ * {@link Decide}.
  */
 final class PeerMessage {
     static final byte[] MAGIC = {(byte) 0xE2};
@@ -34,14 +36,19 @@
         while (at[0] < m.length - 1) {
             long tag = take(m, at);
             boolean load = tag == 1;
+            if (tag > 1 && tag % 2 != 0) {
+                if (Math.min(take(m, at), Math.min(take(m, at), take(m, at))) < 0) {
+                    return null;
+                }
+                continue;
+            }
             found[n] = load ? -1 : tag / 2;
             found[n + 1] = take(m, at);
             found[n + 2] = take(m, at);
             found[n + 3] = take(m, at);
             if (tag < 0 || found[n + 1] < 0 || found[n + 2] < 0 || found[n + 3] < 0
                     || (load ? found[n + 2] > WORK_MOST || found[n + 3] > HELD_MOST
-                    : tag % 2 != 0
-                    || found[n] >= tenants || found[n + 1] >= owners)) {
+                    : found[n] >= tenants || found[n + 1] >= owners)) {
                 return null;
             }
             n += 4;
--- a/src/main/java/granitefold/rollout/Rollout.java
+++ b/src/main/java/granitefold/rollout/Rollout.java
@@ -7,12 +7,9 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Deque;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
 
 /**
  * One rollout: (state, event, now) to actions. An order is kept before it is given and may be given twice, keepers see to it that it is
@@ -21,14 +18,8 @@
 public final class Rollout {
     /** An order that may have got lost is given again after so long. */
     static final long AGAIN_US = 2_000_000;
-    /** What was seen of a keeper counts for so long. */
-    static final long SIGHT_US = 3_000_000;
-    /** An end by itself is judged so long after it was seen: what hit all shows at all by then. */
-    static final long SETTLE_US = 3_000_000;
     private static final int LOG_MOST = 500;
 
-    private record Sight(KeeperStatus status, long atUs) { }
-
     private final Plan plan;
     private State state;
     private Order order;
@@ -41,16 +32,13 @@
     private final List<String> log = new ArrayList<>();
 
     // what a controller that comes back learns anew
-    private final Map<String, Sight> sights = new TreeMap<>();
-    /** Ends by themselves that each had when the stage was entered, or when it was first seen after that. */
-    private final Map<String, Integer> crashesBefore = new TreeMap<>();
+    private final Sights sights = new Sights();
     private Evidence evidence;
     private long stepSince;
     private long givenAt;
     private long lookFrom;
     private long lookUntil;
     private long lastLook;
-    private long crashSeenAt = Long.MAX_VALUE;
     /** Steps of a return that could not be done yet; each is tried once more at the end. */
     private int deferred;
     private final List<RolloutAction> actions = new ArrayList<>();
@@ -148,8 +136,7 @@
                 steps.add(new Step(stay.get(i), false));
             }
         }
-        crashesBefore.clear();
-        crashSeenAt = Long.MAX_VALUE;
+        sights.stage();
         order = new Order(order.rollout(), order.step() + 1);
         promise();
         enter(State.CHANGING, "");
@@ -241,17 +228,11 @@
 
     // ---------------------------------------------------------------- events
     private void seen(String dispatcher, KeeperStatus s, long now) {
-        sights.put(dispatcher, new Sight(s, now));
+        sights.saw(dispatcher, s, state == State.CHANGING || state == State.LOOKING, now);
         if (s.seen().rollout() > order.rollout()) {
             refused(dispatcher, s.seen());
             return;
         }
-        if (state == State.CHANGING || state == State.LOOKING) {
-            int before = crashesBefore.computeIfAbsent(dispatcher, d -> s.crashes());
-            if (s.crashes() > before && crashSeenAt == Long.MAX_VALUE) {
-                crashSeenAt = now;
-            }
-        }
         Step step = steps.peek();
         if (step == null || !step.dispatcher().equals(dispatcher)) {
             return;
@@ -344,15 +325,14 @@
         if (state == State.CHANGING || state == State.RETURNING) {
             Step s = steps.peek();
             if (now - stepSince > plan.stepUs()) {
-                Sight sight = sights.get(s.dispatcher());
-                boolean answers = sight != null && now - sight.atUs < SIGHT_US;
-                stepFailed(answers ? "not done in time" : "its keeper does not answer", answers && sight.status.seen().equals(order), now);
+                KeeperStatus status = sights.lately(s.dispatcher(), now);
+                stepFailed(status != null ? "not done in time" : "its keeper does not answer", status != null && status.seen().equals(order), now);
             } else if (now - givenAt > AGAIN_US) {
                 givenAt = now;
                 actions.add(new RolloutAction.Give(s.dispatcher(), order, s.fresh() ? plan.fresh() : plan.old()));
             }
         }
-        if ((state == State.CHANGING || state == State.LOOKING) && now - SETTLE_US >= crashSeenAt) {
+        if ((state == State.CHANGING || state == State.LOOKING) && sights.toJudge(now)) {
             crashes(now);
         }
         if (state == State.LOOKING) {
@@ -362,20 +342,15 @@
 
     /** Whether new ones end by themselves more often than old ones beside them. */
     private void crashes(long now) {
-        crashSeenAt = Long.MAX_VALUE;
-        int ofFresh = crashed(fresh);
+        sights.judged();
+        int ofFresh = sights.crashed(fresh);
         List<String> others = plan.dispatchers().stream().filter(d -> !fresh.contains(d)).toList();
-        double ofOld = others.isEmpty() ? 0 : (double) crashed(others) / others.size();
+        double ofOld = others.isEmpty() ? 0 : (double) sights.crashed(others) / others.size();
         if (ofFresh - ofOld * fresh.size() > plan.margins().crashes()) {
-            worse(ofFresh + " ends by themselves among " + fresh.size() + " new ones, " + crashed(others) + " among " + others.size() + " old ones", now);
+            worse(ofFresh + " ends by themselves among " + fresh.size() + " new ones, " + sights.crashed(others) + " among " + others.size() + " old ones", now);
         }
     }
 
-    private int crashed(java.util.Collection<String> some) {
-        return some.stream().filter(sights::containsKey).mapToInt(d -> sights.get(d).status.crashes()
-                - crashesBefore.getOrDefault(d, sights.get(d).status.crashes())).sum();
-    }
-
     private void looking(long now) {
         double seconds = (now - lastLook) / 1e6;
         lastLook = now;
@@ -385,12 +360,12 @@
         List<String> old = controls.isEmpty() ? plan.dispatchers().stream().filter(d -> !fresh.contains(d)).toList() : List.copyOf(controls);
         boolean alone = fresh.size() == plan.dispatchers().size();
         if (!alone) {
-            evidence.look(samples(fresh, now), samples(old, now), seconds);
+            evidence.look(sights.samples(fresh, now), sights.samples(old, now), seconds);
         }
         Verdict v = alone ? new Verdict(Verdict.Kind.GOOD, "no old ones are left to compare with") : evidence.verdict();
         if (v.kind() == Verdict.Kind.WORSE) {
             worse(v.why(), now);
-        } else if (v.kind() == Verdict.Kind.GOOD && now - lookFrom >= plan.leastUs() && crashSeenAt == Long.MAX_VALUE) {
+        } else if (v.kind() == Verdict.Kind.GOOD && now - lookFrom >= plan.leastUs() && sights.quiet()) {
             say("stage " + (stage + 1) + " is good: " + v.why());
             passed(now);
         } else if (now >= lookUntil) {
@@ -406,15 +381,4 @@
             enter(State.DONE, "");
         }
     }
-
-    private Map<String, Sample> samples(java.util.Collection<String> some, long now) {
-        Map<String, Sample> all = new LinkedHashMap<>();
-        for (String d : some) {
-            Sight s = sights.get(d);
-            if (s != null && now - s.atUs < SIGHT_US && s.status.sample() != null) {
-                all.put(d, s.status.sample());
-            }
-        }
-        return all;
-    }
 }
--- a/src/main/java/granitefold/standin/ground/GroundCommand.java
+++ b/src/main/java/granitefold/standin/ground/GroundCommand.java
@@ -24,7 +24,8 @@
 /** The proving ground's command line. Exit status: 0 where no rule is broken, 1 where one is, 2 for a broken scenario, 64 for wrong usage. */
 @Command(name = "granitefold-standin", mixinStandardHelpOptions = true, exitCodeOnInvalidInput = 64,
         description = "Real dispatchers as processes, with faults between them.",
-        subcommands = {GroundCommand.Run.class, GroundCommand.CheckHistory.class, GroundCommand.Show.class, granitefold.standin.Experiment.class,
+        subcommands = {GroundCommand.Run.class, GroundCommand.CheckHistory.class, GroundCommand.Show.class, RolloutExperiment.class,
+            granitefold.standin.Experiment.class,
             CommandLine.HelpCommand.class})
 public final class GroundCommand implements Callable<Integer> {
     private static final int BROKEN_RULE = 1, BROKEN_FILE = 2, USAGE = 64;
--- a/src/main/java/granitefold/standin/ground/Rolling.java
+++ b/src/main/java/granitefold/standin/ground/Rolling.java
@@ -54,6 +54,16 @@
         Await.until(wanted + " requests served", Member.PATIENCE_S, () -> served() >= wanted, this::lastLines);
     }
 
+    /** Microseconds since clients began. */
+    long sinceUs() {
+        return ground.clients.sinceUs();
+    }
+
+    /** Waits until so many seconds have gone by since clients began. */
+    void awaitSecond(int second) throws InterruptedException {
+        Await.until("second " + second, second + Member.PATIENCE_S, () -> sinceUs() >= second * 1_000_000L, this::lastLines);
+    }
+
     /** Writes the plan to another version; {@code numbered}: a name of its own gives it a folder of its own. */
     public void plan(String name, Path fresh, Pace pace) throws IOException {
         StringBuilder b = new StringBuilder("name = " + name + "\nfolder = \"" + folder.resolve(name) + "\"\ndispatchers = [\n");
--- /dev/null
+++ b/src/main/java/granitefold/standin/ground/RolloutExperiment.java
@@ -0,0 +1,151 @@
+package granitefold.standin.ground;
+
+import granitefold.standin.ground.Rolling.Pace;
+import granitefold.standin.ground.Rolling.Result;
+import granitefold.standin.ground.Variant.Patch;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.stream.Stream;
+import org.apache.commons.math3.distribution.TDistribution;
+import org.apache.commons.math3.stat.descriptive.SummaryStatistics;
+import org.apache.commons.math3.stat.interval.WilsonScoreInterval;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/**
+ * Rollouts of a version that refuses a share of all requests, with processes: how often it is stopped, at which stage, after how long, and
+ * what is lost of the worth asked for, against changing all at once and leaving it so. Both ways see the same requests, seed by seed.
+ */
+@Command(name = "rollouts", mixinStandardHelpOptions = true, description = "Roll a version that refuses a share of requests, in stages and all at once.")
+final class RolloutExperiment implements Callable<Integer> {
+    private static final long PATIENCE_S = 240;
+    private static final double SURE = 0.95, TWO_SIDES = 0.975;
+    private static final int SETTLED_S = 2, BEFORE_REQUESTS = 1500;
+
+    @Option(names = "--loss", defaultValue = "0.05", description = "Share that the new version refuses; 0 rolls a version against itself (${DEFAULT-VALUE}).")
+    private double loss;
+    @Option(names = "--seeds", defaultValue = "10", description = "Plays of each way (${DEFAULT-VALUE}).")
+    private int seeds;
+    @Option(names = "--first", defaultValue = "1", description = "First seed (${DEFAULT-VALUE}).")
+    private long first;
+    @Option(names = "--parallel", defaultValue = "2", description = "Plays at a time (${DEFAULT-VALUE}).")
+    private int parallel;
+    @Option(names = "--window", defaultValue = "90", description = "Seconds after the rollout's start over which losses are added up (${DEFAULT-VALUE}).")
+    private int windowS;
+    @Option(names = "--staged-only", description = "Do not play the change of all at once.")
+    private boolean stagedOnly;
+    @Option(names = "--jar", defaultValue = "target/granitefold.jar", description = "The old version (${DEFAULT-VALUE}).")
+    private Path jar;
+    @Spec
+    private CommandSpec spec;
+
+    /** One play. {@code lost}: of the worth asked for in the window, what the level before would have served. */
+    private record Outcome(long seed, Result result, double lost, int broken) { }
+
+    @Override
+    public Integer call() throws Exception {
+        Path folder = Files.createTempDirectory("rollouts");
+        ExecutorService threads = Executors.newFixedThreadPool(parallel);
+        PrintWriter out = spec.commandLine().getOut();
+        try {
+            Path fresh = Variant.make(jar, folder, "fresh", loss > 0 ? Variant.loses(loss) : new Patch("core/Phase.java", "/** The program's", "/** Our"));
+            List<Future<Outcome>> staged = new ArrayList<>();
+            List<Future<Outcome>> atOnce = new ArrayList<>();
+            for (int i = 0; i < seeds; i++) {
+                long seed = first + i;
+                staged.add(threads.submit(() -> play(seed, fresh, Pace.TEST)));
+                if (!stagedOnly) {
+                    atOnce.add(threads.submit(() -> play(seed, fresh, new Pace("all", 2, 6, 40, 20, false, false))));
+                }
+            }
+            report(out, staged, atOnce);
+        } finally {
+            threads.shutdownNow();
+            try (Stream<Path> files = Files.walk(folder)) {
+                files.sorted(Comparator.reverseOrder()).forEach(f -> f.toFile().delete());
+            }
+        }
+        return 0;
+    }
+
+    private Outcome play(long seed, Path fresh, Pace pace) throws IOException, InterruptedException, granitefold.operator.BrokenFile {
+        Scenario s = Scenario.read("rollouts", "for = 600s, dispatchers { count = 4, kept = true }, cocineros { count = 5, slots = 8 }, load.rate = 200\n");
+        try (Rolling r = new Rolling(s, seed, jar)) {
+            r.awaitServed(BEFORE_REQUESTS);
+            int began = (int) (r.sinceUs() / 1_000_000);
+            r.plan("rollout", fresh, pace);
+            r.start();
+            Result result = r.result(PATIENCE_S);
+            r.awaitSecond(began + windowS);
+            int broken = r.end().size();
+            return new Outcome(seed, result, lost(r.tallies().seconds(), began, windowS), broken);
+        }
+    }
+
+    private static double lost(List<Tallies.Row> seconds, int began, int windowS) {
+        double before = 0;
+        double asked = 0;
+        for (int i = SETTLED_S; i < began; i++) {
+            before += seconds.get(i).worthServed;
+            asked += seconds.get(i).worthAsked;
+        }
+        double level = before / asked;
+        double lost = 0;
+        double all = 0;
+        for (int i = began; i < Math.min(seconds.size(), began + windowS); i++) {
+            lost += level * seconds.get(i).worthAsked - seconds.get(i).worthServed;
+            all += seconds.get(i).worthAsked;
+        }
+        return lost / all;
+    }
+
+    private void report(PrintWriter out, List<Future<Outcome>> staged, List<Future<Outcome>> atOnce) throws Exception {
+        out.printf(Locale.ROOT, "%5s %-10s %5s %8s %10s %10s %7s  %s%n", "seed", "state", "stage", "seconds", "lost", "at once", "broken", "verdict");
+        SummaryStatistics inStages = new SummaryStatistics();
+        SummaryStatistics allAtOnce = new SummaryStatistics();
+        SummaryStatistics saved = new SummaryStatistics();
+        SummaryStatistics seconds = new SummaryStatistics();
+        int stopped = 0;
+        int broken = 0;
+        for (int i = 0; i < staged.size(); i++) {
+            Outcome a = staged.get(i).get();
+            Outcome b = stagedOnly ? null : atOnce.get(i).get();
+            boolean back = a.result.state().equals("RETURNED");
+            stopped += back ? 1 : 0;
+            broken += a.broken + (b == null ? 0 : b.broken);
+            inStages.addValue(a.lost);
+            seconds.addValue(a.result.seconds());
+            if (b != null) {
+                allAtOnce.addValue(b.lost);
+                saved.addValue(b.lost - a.lost);
+            }
+            out.printf(Locale.ROOT, "%5d %-10s %5d %8.1f %10.4f %10s %7d  %s%n", a.seed, a.result.state(), a.result.stage(), a.result.seconds(), a.lost,
+                    b == null ? "" : String.format(Locale.ROOT, "%.4f", b.lost), a.broken + (b == null ? 0 : b.broken), a.result.verdict());
+            out.flush();
+        }
+        var share = new WilsonScoreInterval().createInterval(staged.size(), stopped, SURE);
+        out.printf(Locale.ROOT, "went back in %d of %d (95%% interval %.3f to %.3f), after %.1f s on the mean; rules broken %d times%n", stopped, staged.size(),
+                share.getLowerBound(), share.getUpperBound(), seconds.getMean(), broken);
+        out.println("worth lost in stages: " + interval(inStages) + (stagedOnly ? "" : "; all at once: " + interval(allAtOnce) + "; saved, paired: " + interval(saved)));
+    }
+
+    private static String interval(SummaryStatistics s) {
+        if (s.getN() < 2) {
+            return String.format(Locale.ROOT, "%.4f", s.getMean());
+        }
+        double half = new TDistribution(s.getN() - 1.0).inverseCumulativeProbability(TWO_SIDES) * s.getStandardDeviation() / Math.sqrt(s.getN());
+        return String.format(Locale.ROOT, "%.4f (%.4f to %.4f)", s.getMean(), s.getMean() - half, s.getMean() + half);
+    }
+}
--- a/src/test/java/granitefold/state/StateFileTest.java
+++ b/src/test/java/granitefold/state/StateFileTest.java
@@ -40,6 +40,13 @@
         assertEquals(c, StateFile.decode(StateFile.encode(c)));
     }
 
+    /** A file that version 0.1.0 wrote. */
+    @Test
+    void aFileOfTheVersionBeforeIsRead() throws Exception {
+        byte[] golden = java.nio.file.Files.readAllBytes(java.nio.file.Path.of("src/test/resources/golden/learned-1.state"));
+        assertEquals(content(5, 42), StateFile.decode(golden));
+    }
+
     /** Every prefix and every flipped bit of a real file. */
     @Test
     void noPrefixAndNoFlippedBitIsTakenForAFile() {
