--- a/src/main/java/granitefold/Rehearsal.java
+++ b/src/main/java/granitefold/Rehearsal.java
@@ -27,7 +27,7 @@
             + "X-Estimate: 1000\r\nX-Labels: slots=1\r\nContent-Length: 4\r\nConnection: close\r\n\r\nsoup";
 
     /** Loaded with an operator's file or for other commands only: in the archive they would cost every start. */
-    private static final String ELSEWHERE = "granitefold\\.(cli\\.(Commands|ControlClient|JsonLines|StateCommand)|operator\\.(OperatorFile"
+    private static final String ELSEWHERE = "granitefold\\.(rollout\\.|cli\\.(rollout|Commands|ControlClient|JsonLines|StateCommand)|operator\\.(OperatorFile|HoconFile"
             + "|Section)|net\\.checks\\.(Checks|HttpCheck|Agent|Control)|state\\.|recovery\\.Ageing|shaded\\.jackson\\.(databind|annotation|dataformat)).*";
 
     private Rehearsal() { }
--- a/src/main/java/granitefold/standin/ground/GroundCommand.java
+++ b/src/main/java/granitefold/standin/ground/GroundCommand.java
@@ -135,11 +135,7 @@
                 Report.html(p, html);
             }
             if (history != null) {
-                try (java.io.Writer w = Files.newBufferedWriter(history)) {
-                    for (granitefold.standin.history.Entry e : p.history()) {
-                        w.write(Settings.JSON.writeValueAsString(e) + "\n");
-                    }
-                }
+                History.write(p.history(), history);
             }
         }
 
--- a/src/main/java/granitefold/standin/history/History.java
+++ b/src/main/java/granitefold/standin/history/History.java
@@ -44,10 +44,10 @@
         return all;
     }
 
-    /** Writes one entry a line. */
-    public void write(Path file) throws IOException {
+    /** Writes entries, one a line. */
+    public static void write(List<Entry> entries, Path file) throws IOException {
         try (Writer w = Files.newBufferedWriter(file)) {
-            for (Entry e : sorted()) {
+            for (Entry e : entries) {
                 w.write(JSON.writeValueAsString(e));
                 w.write('\n');
             }
