--- a/review/src/review/Dispatcher.java
+++ b/review/src/review/Dispatcher.java
@@ -35,7 +35,7 @@
 
     /** Waits until it is ready, as the front does: `GET /healthz` answers 200. */
     void awaitReady() throws Exception {
-        for (double end = lab.now() + 30; lab.now() < end && process.isAlive(); Lab.sleep(0.02)) {
+        for (double end = lab.now() + 20; lab.now() < end && process.isAlive(); Lab.sleep(0.02)) {
             try (Client client = new Client(port)) {
                 client.send("GET /healthz HTTP/1.1\r\nHost: d\r\n\r\n");
                 if (client.receive(1).status() == 200) {
--- a/review/src/review/RefusedAsItRuns.java
+++ b/review/src/review/RefusedAsItRuns.java
@@ -9,11 +9,11 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
- * Two dispatchers; cocineros of two kinds, one of which runs the purchases. In a release the cocineros of that kind are replaced, the new ones
+ * Four dispatchers; cocineros of two kinds, one of which runs the purchases. In a release the cocineros of that kind are replaced, the new ones
  * start cold, and a dispatcher that holds purchases for them is restarted as planned (SIGTERM). It is held up for less than 0.15 s.
  */
 final class RefusedAsItRuns {
-    private static final int TILE_COCINEROS = 3, BUYING_COCINEROS = 2, ORDERS = 48;
+    private static final int DISPATCHERS = 4, TILE_COCINEROS = 3, BUYING_COCINEROS = 2, ORDERS = 48;
     private static final double ORDERS_PER_S = 40;
     /** When SIGTERM comes, in seconds from the first purchase that a cocinero has begun. */
     private static final double TERM_AT = 1.27;
@@ -81,9 +81,9 @@
             old.put("s-old" + i, cocinero("s-old" + i));
             list("s-old" + i, old.get("s-old" + i), "medium", "up", 0);
         }
-        Dispatcher[] dispatchers = new Dispatcher[2];
-        for (int i = 0; i < 2; i++) {
-            Map<String, Object> settings = Sites.with(Sites.lima(i, 2), "familyInfo", "classKind", List.of(-1, -1, -1, 1));
+        Dispatcher[] dispatchers = new Dispatcher[DISPATCHERS];
+        for (int i = 0; i < DISPATCHERS; i++) {
+            Map<String, Object> settings = Sites.with(Sites.lima(i, DISPATCHERS), "familyInfo", "classKind", List.of(-1, -1, -1, 1));
             dispatchers[i] = lab.dispatcher(Sites.config("n" + i, Lab.freePort(), discovery.address, 192, 1024, discovery.known(), settings));
         }
         for (Dispatcher dispatcher : dispatchers) {
