Review case 2: a release of two cocineros in twelve, inside the site's share

Two of twelve cocineros are replaced instead of two of five: 17%, and the site names up to 19% at a time.

--- a/review/src/review/RefusedAsItRuns.java
+++ b/review/src/review/RefusedAsItRuns.java
@@ -13,7 +13,7 @@
  * start cold, and a dispatcher that holds purchases for them is restarted as planned (SIGTERM). It is held up for less than 0.15 s.
  */
 final class RefusedAsItRuns {
-    private static final int DISPATCHERS = 4, TILE_COCINEROS = 3, BUYING_COCINEROS = 2, ORDERS = 48;
+    private static final int DISPATCHERS = 4, TILE_COCINEROS = 10, BUYING_COCINEROS = 2, ORDERS = 48;
     private static final double ORDERS_PER_S = 40;
     /** When SIGTERM comes, in seconds from the first purchase that a cocinero has begun. */
     private static final double TERM_AT = 1.27;
