--- a/review/src/review/Client.java
+++ b/review/src/review/Client.java
@@ -26,6 +26,18 @@
         socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
     }
 
+    /** Waits for the 100 (Continue) that was asked for; returns false if something else comes, which is then the answer. */
+    boolean awaitContinue(double seconds) throws IOException {
+        socket.setSoTimeout((int) (seconds * 1000));
+        in.mark(64);
+        if (line().startsWith("HTTP/1.1 100")) {
+            line();
+            return true;
+        }
+        in.reset();
+        return false;
+    }
+
     /** A job as the protocol page has it. */
     static String job(String target, String txn, String tenant, long remainingMs, String extraHeads, String body) {
         return "POST " + target + " HTTP/1.1\r\nHost: origin.svc\r\nX-Txn: " + txn + "\r\nX-Org: " + tenant + "\r\nX-Remaining-Ms: "
