--- a/review/src/review/LargeBodies.java
+++ b/review/src/review/StoppedHalfWay.java
@@ -11,22 +11,24 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * One dispatcher with the memory and the descriptors of a small one, twelve cocineros, the site's classes with bodies as long as the protocol allows.
- * For some seconds traffic jumps to a multiple of the usual. All clients, cocineros and discovery are sound. Half of the clients ask for a
- * 100 (Continue) before they send the body, which shows that the dispatcher has read the request's head.
+ * One dispatcher, twelve cocineros, the site's usual traffic. For some seconds a crowd comes beside it: clients that send a part of one request and
+ * then stay. All usual clients, all cocineros and discovery are sound. Half of the usual clients ask for a 100 (Continue) before they send the body,
+ * which shows that the dispatcher has read the request's head.
  */
-final class LargeBodies {
+final class StoppedHalfWay {
     private static final int COCINEROS = 12, SLOTS = 6;
-    private static final int SOCKETS = 256, MEMORY_MB = 96;
+    private static final int SOCKETS = 1024, MEMORY_MB = 192;
     /** For requests, clients hold at most a third of the descriptors. */
     private static final int CLIENTS = SOCKETS / 3;
-    private static final double SECONDS = 22, JOBS_PER_S = 60, BURST_FROM = 8, BURST_S = 8, BURST = 2.2;
-    /** The longest body that the protocol allows, and the shortest here. */
-    private static final int MAX_BODY_BYTES = 64 * 1024, MIN_BODY_BYTES = 48 * 1024;
-    private static final String TEXT = "receta ".repeat(MAX_BODY_BYTES / 7 + 1);
-    /** The site's classes: of a hundred jobs, how many are of each, what one takes, and its client's time. */
+    private static final double SECONDS = 22, JOBS_PER_S = 60;
+    /** The crowd: each of its clients comes once, sends this much of one body, and stays until the dispatcher ends its connection. */
+    private static final double CROWD_FROM = 5, CROWD_S = 12, CROWD_PER_S = 250;
+    private static final int CROWD_BODY_BYTES = 64 * 1024, CROWD_SENT_BYTES = 40 * 1024;
+    /** The site's classes: of a hundred jobs, how many are of each, what one takes, its client's time, and the lengths of its bodies. */
     private static final String[] CLASSES = {"ficha", "escalar", "guardar-cuaderno"};
     private static final int[] SHARES = {38, 33, 29}, RUN_MS = {160, 980, 650}, DEADLINES_MS = {5000, 12000, 7500};
+    private static final int[] MIN_BODY_BYTES = {100, 6_000, 6_000}, MAX_BODY_BYTES = {1_000, 28_000, 28_000};
+    private static final String TEXT = "receta ".repeat(MAX_BODY_BYTES[1] / 7 + 1);
     /** An answer may come this much later than the client's time before the request is lost. */
     private static final double ANSWER_SLACK_S = 0.5;
 
@@ -35,14 +37,15 @@
             foreign = new AtomicInteger(), cut = new AtomicInteger(), open = new AtomicInteger(), skipped = new AtomicInteger();
     /** Requests written whole, whose connection the dispatcher ended without an answer; and those of them of which it had visibly read the head. */
     private final List<String> lost = Collections.synchronizedList(new ArrayList<>()), lostAsRead = Collections.synchronizedList(new ArrayList<>());
+    private final AtomicInteger crowd = new AtomicInteger(), crowdOpen = new AtomicInteger(), crowdAnswered = new AtomicInteger(), crowdEnded = new AtomicInteger();
     private final List<String> run = Collections.synchronizedList(new ArrayList<>());
 
-    private LargeBodies(Lab lab) {
+    private StoppedHalfWay(Lab lab) {
         this.lab = lab;
     }
 
     public static void main(String[] args) {
-        Lab.main(args, lab -> new LargeBodies(lab).play());
+        Lab.main(args, lab -> new StoppedHalfWay(lab).play());
     }
 
     /** A cocinero with a few slots: jobs wait for one in order, then run for as long as their class takes. */
@@ -75,24 +78,24 @@
         dispatcher.awaitReady();
         List<Thread> clients = new ArrayList<>();
         Random random = new Random(42);
-        double begin = lab.now(), next = 0, reported = -1;
-        for (int i = 0; next < SECONDS && dispatcher.alive(); i++) {
-            lab.sleepUntil(begin + next);
-            boolean burst = lab.trouble && next >= BURST_FROM && next < BURST_FROM + BURST_S;
-            if (next >= reported + 1) {
-                reported = next;
-                report(burst ? "the burst, " : "usual traffic, ");
+        double begin = lab.now();
+        if (lab.trouble) {
+            Server.thread(() -> crowd(dispatcher, begin + CROWD_FROM));
+        }
+        for (int i = 0; i < SECONDS * JOBS_PER_S && dispatcher.alive(); i++) {
+            lab.sleepUntil(begin + i / JOBS_PER_S);
+            if (i % JOBS_PER_S == 0) {
+                report("usual traffic, ");
             }
-            next += 1 / (JOBS_PER_S * (burst ? BURST : 1));
+            // spreads the classes evenly by their shares
+            int draw = i * 37 % 100, jobClass = draw < SHARES[0] ? 0 : draw < SHARES[0] + SHARES[1] ? 1 : 2;
+            String body = TEXT.substring(0, MIN_BODY_BYTES[jobClass] + random.nextInt(MAX_BODY_BYTES[jobClass] - MIN_BODY_BYTES[jobClass]));
+            boolean askFirst = i % 2 == 0;
             if (open.get() >= CLIENTS) {
                 skipped.incrementAndGet();
                 continue;
             }
             String txn = "job-" + i;
-            // spreads the classes evenly by their shares
-            int draw = i * 37 % 100, jobClass = draw < SHARES[0] ? 0 : draw < SHARES[0] + SHARES[1] ? 1 : 2;
-            String body = TEXT.substring(0, MIN_BODY_BYTES + random.nextInt(MAX_BODY_BYTES - MIN_BODY_BYTES + 1));
-            boolean askFirst = i % 2 == 0;
             open.incrementAndGet();
             clients.add(Server.thread(() -> {
                 try {
@@ -117,7 +120,29 @@
     private void report(String when) {
         lab.say("clients", when + "sent " + sent + ", served " + served + ", refused " + refused + ", failed " + failed + ", lost " + lost.size()
                 + " (as read " + lostAsRead.size() + "), ended before written whole " + cut + ", open " + open + ", not sent for want of a connection "
-                + skipped);
+                + skipped + "; crowd " + crowd + ", now open " + crowdOpen + ", got an error " + crowdAnswered + ", ended " + crowdEnded);
+    }
+
+    /** The crowd: clients that connect, send a part of a request at full speed, and read whatever is sent to them. */
+    private void crowd(Dispatcher dispatcher, double from) throws InterruptedException {
+        for (int i = 0; i < CROWD_S * CROWD_PER_S; i++) {
+            lab.sleepUntil(from + i / CROWD_PER_S);
+            String text = "POST /escalar?sid=1 HTTP/1.1\r\nHost: origin.svc\r\nX-Txn: crowd-" + i + "\r\nX-Org: dulce-tarde\r\nX-Remaining-Ms: 12000\r\n"
+                    + "Content-Length: " + CROWD_BODY_BYTES + "\r\n\r\n" + "c".repeat(CROWD_SENT_BYTES);
+            crowd.incrementAndGet();
+            crowdOpen.incrementAndGet();
+            Server.thread(() -> {
+                boolean answered = false;
+                try (Client client = new Client(dispatcher.port)) {
+                    client.send(text);
+                    client.receive(6);
+                    answered = true;
+                } finally {
+                    crowdOpen.decrementAndGet();
+                    (answered ? crowdAnswered : crowdEnded).incrementAndGet();
+                }
+            });
+        }
     }
 
     /** One request on a new connection, with one answer; no retry. */
