Review: a play that isn't over after 100 s ends as one that could not run

Case 2 waited without a bound for the first purchase that a cocinero begins, and its four starts may take 20 s each, so that 120 s were not certain. The scripts are else as they were played.

--- a/review/src/review/Lab.java
+++ b/review/src/review/Lab.java
@@ -16,6 +16,9 @@
 public final class Lab implements AutoCloseable {
     static final int HELD = 0, BROKEN = 1, COULD_NOT_RUN = 2;
 
+    /** A play that takes longer is ended as one that could not run: a script may take 120 s, with the start of its JVM and the end of its processes. */
+    private static final double LONGEST_S = 100;
+
     private final long startNs = System.nanoTime();
     private final PrintWriter record;
     private final List<Dispatcher> dispatchers = new ArrayList<>();
@@ -37,6 +40,12 @@
         int status = COULD_NOT_RUN;
         try (Lab lab = new Lab(Path.of(args[0]))) {
             lab.say("play", "trouble=" + (lab.trouble ? 1 : 0));
+            Server.thread(() -> {
+                sleep(LONGEST_S);
+                lab.say("could not run", "not over after " + LONGEST_S + " s");
+                lab.close();
+                Runtime.getRuntime().halt(COULD_NOT_RUN);
+            });
             try {
                 status = play.run(lab);
             } catch (Exception | AssertionError e) {
