--- a/review/src/review/Lab.java
+++ b/review/src/review/Lab.java
@@ -19,6 +19,7 @@
     /** A play that takes longer is ended as one that could not run: a script may take 120 s, with the start of its JVM and the end of its processes. */
     private static final double LONGEST_S = 100;
 
+    private volatile boolean late;
     private final long startNs = System.nanoTime();
     private final PrintWriter record;
     private final List<Dispatcher> dispatchers = new ArrayList<>();
@@ -42,6 +43,7 @@
             lab.say("play", "trouble=" + (lab.trouble ? 1 : 0));
             Server.thread(() -> {
                 sleep(LONGEST_S);
+                lab.late = true;
                 lab.say("could not run", "not over after " + LONGEST_S + " s");
                 lab.close();
                 Runtime.getRuntime().halt(COULD_NOT_RUN);
@@ -52,6 +54,8 @@
                 lab.say("could not run", e.toString());
                 e.printStackTrace();
             }
+            // what a play sees after its processes were ended says nothing
+            status = lab.late ? COULD_NOT_RUN : status;
             lab.say("exit status", status);
         } catch (IOException e) {
             e.printStackTrace();
