Connections are read in bounded turns, so that no peer holds up the loop

Cause: OutboundHttpConnection.onFillable read until fill returned 0, on the only thread. A remote end that sends faster than its bytes are parsed never lets that happen, so the selector and all timers stood still.

Evidence: six thread dumps during the hang, 0.5 s apart, all within that loop (HttpParser.parseContent, content), the thread at 99.9% of a core; meanwhile 225,193 bytes lay in the spoilt connection's receive queue, five finished answers of workers (91 bytes each) and six closes of clients were unread, and discovery's watch ended as silent only when the sender stopped. Ruled out: memory (no collection in the dumps, 88 MB resident), Jetty's parser (it returns after each buffer), a lost wake-up (the thread never waits).

Related paths, each tried on the program before: progress lines, lines of unknown states, chunks of one byte, discovery's empty lines and lists without a pause, and a client that pipelines health checks all hang it in the same way. The body of an error, a chunk extension and datagrams from four senders did not; datagrams are bounded all the same.

Change: ReadTurn ends a connection's turn after 16 KiB (64 KiB for discovery) or 64 messages; what is left is read after the other sockets and timers. Where input that had arrived is to be read first (afterPendingInput: connect time-outs, the first list, a planned end), unfinished turns are waited for, up to 64 rounds. A client whose turn was cut counts as busy, not as idle. The input buffer of clients is a class of its own now (ReadAheadBuffer).

Tests: EndlessInputIT, before 6 of 9 failed, now all pass; SelectorThreadTest.inputOfManyTurnsIsReadBeforeTheTaskRuns fails without the wait for unfinished turns; OpsIT.listsWithoutPauseDelayNoClient, before: a client waited 3,029 ms. OpsIT.busyEventLoopDelaysNoAnswer kept the loop busy by this very fault (now 207 ms at most), so it plants a pause of the loop instead; its bounds, 1 s for a call and 2 s of a busy loop, are as before.

--- a/src/main/java/granitefold/net/ClientConnection.java
+++ b/src/main/java/granitefold/net/ClientConnection.java
@@ -19,11 +19,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.io.EndPoint;
-import org.eclipse.jetty.util.BufferUtil;
 
 /** A connection from a client: reads one request at a time, and detects a disconnect while the request is in progress. */
 final class ClientConnection extends NonBlockingConnection {
-    private static final int BUFFER_BYTES = 4096;
     /** The limit of input discarded after the last response: closing over unread input would reset the connection and lose the response. */
     private static final int MAX_DISCARDED_BYTES = 4 * ClientRequest.MAX_BODY_BYTES;
     private static final ByteBuffer CONTINUE =
@@ -45,7 +43,9 @@
     private final long waitingSinceNs;
     /** Whether the input that arrived with the connection is being read. */
     private boolean readingInitialInput;
-    private ByteBuffer input = BufferUtil.allocate(BUFFER_BYTES);
+    private final ReadAheadBuffer input;
+    private final SelectorThread selectorThread;
+    private final ReadTurn turn;
     private State state = State.READING;
     private boolean readingInput;
     /** Whether the reducer was notified that a request has begun to arrive. */
@@ -67,11 +67,14 @@
     private boolean wantsMetrics;
 
     /** @param waitingSinceNs the earliest time ({@link System#nanoTime}) at which the connection may have arrived */
-    ClientConnection(EndPoint endPoint, EventLoop loop, long id, long waitingSinceNs) {
+    ClientConnection(EndPoint endPoint, EventLoop loop, SelectorThread selectorThread, long id, long waitingSinceNs) {
         super(endPoint);
         this.loop = loop;
+        this.selectorThread = selectorThread;
         this.id = id;
         this.waitingSinceNs = waitingSinceNs;
+        input = new ReadAheadBuffer(loop::reserveBodyBytes);
+        turn = new ReadTurn(selectorThread, ReadTurn.MAX_BYTES);
         reader = new RequestReader(loop::reserveBodyBytes, this::writeContinue);
         proxyHeaderPending = loop.clientSettings().proxyHeaderRequired();
         sourceAddress = endPoint.getRemoteSocketAddress();
@@ -118,12 +121,13 @@
         closeConnection(CloseReason.CLIENT);
     }
 
-    /** Reads and parses all available input. An immediate response calls this again, which has no effect while it is running. */
+    /** Reads and parses input for one turn. An immediate response calls this again, which has no effect while it is running. */
     private void readInput() {
         if (readingInput) {
             return;
         }
         readingInput = true;
+        turn.begin();
         try {
             while (getEndPoint().isOpen() && readOnce()) { }
         } catch (IOException e) {
@@ -138,39 +142,63 @@
         if (proxyHeaderPending && input.hasRemaining() && !readProxyHeader()) {
             return false;
         }
+        if (state == State.READING && turn.isOver()) {
+            yieldTurn();
+            return false;
+        }
         if (state == State.READING && input.hasRemaining()) {
-            if (reader.read(input) && state == State.READING) {
+            if (reader.read(input.input()) && state == State.READING) {
+                turn.addMessage();
                 handleRequest();
             }
             return true;
         }
         if (state == State.LINGERING) {
-            discardedBytes += input.remaining();
-            BufferUtil.clear(input);
+            discardedBytes += input.input().remaining();
+            input.clear();
             if (discardedBytes > MAX_DISCARDED_BYTES) {
                 closeConnection(CloseReason.FLOOD);
                 return false;
             }
-        } else if (BufferUtil.isFull(input) && !enlargeBuffer()) {
+        } else if (!input.ensureRoom()) {
             // without reading on, a disconnect would go unnoticed; no regular client pipelines this much
             closeConnection(CloseReason.FLOOD);
             return false;
         }
-        int count = getEndPoint().fill(input);
-        inputArrived |= count > 0;
+        int count = input.fillFrom(getEndPoint());
         if (count < 0) {
             closeConnection(CloseReason.CLIENT);
         } else if (count == 0) {
-            if (state == State.READING && inputArrived && !reader.isAtStart()) {
-                loop.post(requestStarted ? new Event.RequestContinued(id) : new Event.RequestStarted(id));
-                requestStarted = true;
-            }
-            inputArrived = false;
+            turn.end(false);
+            reportPartialRequest();
             awaitReadable();
+        } else {
+            inputArrived = true;
+            turn.addBytes(count);
         }
         return count > 0;
     }
 
+    /** Lets other connections and the timers run before the input that is left. */
+    private void yieldTurn() {
+        turn.end(true);
+        reportPartialRequest();
+        if (input.hasRemaining()) {
+            selectorThread.submit(this::readInput);
+        } else {
+            awaitReadable();
+        }
+    }
+
+    /** Reports that part of a request has arrived since the last report. */
+    private void reportPartialRequest() {
+        if (state == State.READING && inputArrived && !reader.isAtStart()) {
+            loop.post(requestStarted ? new Event.RequestContinued(id) : new Event.RequestStarted(id));
+            requestStarted = true;
+        }
+        inputArrived = false;
+    }
+
     /** Reads the PROXY header; returns false if its input is not available yet, or if the connection was closed for lack of a valid one. */
     private boolean readProxyHeader() throws IOException {
         try {
@@ -178,13 +206,13 @@
             if (!loop.clientSettings().proxySources().isEmpty() && !loop.clientSettings().proxySources().contains(proxy.getAddress())) {
                 throw new BadRequestException(400, "not one of clients.proxy-from");
             }
-            ProxyHeader header = ProxyHeader.decode(input);
+            ProxyHeader header = ProxyHeader.decode(input.input());
             if (header != null) {
                 proxyHeaderPending = false;
                 sourceAddress = header.source() == null ? sourceAddress : header.source();
                 return true;
             }
-            int count = BufferUtil.isFull(input) ? -1 : getEndPoint().fill(input);
+            int count = input.isFull() ? -1 : input.fillFrom(getEndPoint());
             if (count < 0) {
                 throw new BadRequestException(400, "closed within its PROXY header");
             }
@@ -201,34 +229,12 @@
         }
     }
 
-    /** Enlarges the input buffer to read on during a request: a disconnect is only detected by reading. */
-    private boolean enlargeBuffer() {
-        int additional = input.capacity();
-        if (additional > ClientRequest.MAX_BODY_BYTES || !loop.reserveBodyBytes(additional)) {
-            return false;
-        }
-        resize(2 * additional);
-        return true;
-    }
-
-    private void shrinkBuffer() {
-        if (input.capacity() > BUFFER_BYTES && input.remaining() <= BUFFER_BYTES) {
-            loop.reserveBodyBytes(BUFFER_BYTES - input.capacity());
-            resize(BUFFER_BYTES);
-        }
-    }
-
-    private void resize(int capacity) {
-        ByteBuffer resized = BufferUtil.allocate(capacity);
-        BufferUtil.append(resized, input);
-        input = resized;
-    }
-
     /** Closes the connection, whichever side ended it. */
     private void closeConnection(CloseReason reason) {
         reader.release();
-        BufferUtil.clear(input);
-        shrinkBuffer();
+        input.clear();
+        input.shrink();
+        turn.end(false);
         state = State.LINGERING;
         loop.closed(this, reason);
         close();
@@ -248,7 +254,8 @@
         try {
             Submission submission = reader.decode(loop.vocabulary());
             wantsMetrics = loop.clientSettings().loadMetrics() && reader.hasHeader(StatusReporter.METRICS_REQUEST_HEADER, "text");
-            if (hasDisconnected()) {
+            if (input.readToEnd(getEndPoint())) {
+                // a loop that reads the request late must not start an attempt for a client that left long ago
                 closeConnection(CloseReason.CLIENT);
             } else {
                 loop.post(new Event.RequestArrived(id, submission, maxInputAgeUs()));
@@ -268,24 +275,6 @@
         return readingInitialInput ? TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - waitingSinceNs) : loop.maxInputAgeUs();
     }
 
-    /**
-     * Returns whether the client has closed the connection after its request: a loop that reads the request late must not start an
-     * attempt for a client that left long ago.
-     */
-    private boolean hasDisconnected() {
-        try {
-            for (int count = 1; count > 0 && (!BufferUtil.isFull(input) || enlargeBuffer()); ) {
-                count = getEndPoint().fill(input);
-                if (count < 0) {
-                    return true;
-                }
-            }
-            return false;
-        } catch (IOException e) {
-            return true;
-        }
-    }
-
     /** Reads the input that has arrived by now, which shows whether the client has disconnected. */
     void readPending() {
         readInput();
@@ -335,7 +324,7 @@
             state = State.READING;
             requestStarted = false;
             reader.startNext();
-            shrinkBuffer();
+            input.shrink();
         }
         loop.post(new Event.AnswerWritten(id, close));
         loop.stopIfAllWritten();
@@ -346,22 +335,23 @@
     void timeOut() {
         readInput();
         if (state == State.READING) {
-            if (reader.isAtStart()) {
-                closeConnection(CloseReason.TIMED_OUT);
-            } else {
+            if (!reader.isAtStart()) {
                 reader.fail(new BadRequestException(408, "the request did not come to its end"));
                 handleRequest();
+            } else if (!turn.hasInputLeft()) {
+                closeConnection(CloseReason.TIMED_OUT);
             }
         }
     }
 
     /**
      * Closes the connection to make room, unless a request turns out to have arrived completely, which is then processed. A partly
-     * received request is answered with a rejection: if the close crossed its last bytes, the client would get no answer.
+     * received request, or one that is still to be read, is answered with a rejection: if the close crossed its last bytes, the client
+     * would get no answer.
      */
     void closeUnlessBusy(CloseReason reason) {
         readInput();
-        if (state == State.READING && !reader.isAtStart()) {
+        if (state == State.READING && !isIdle()) {
             reject();
         } else if (state != State.PROCESSING) {
             closeConnection(reason);
@@ -376,7 +366,7 @@
      */
     void halfCloseUnlessBusy(boolean rejectPartial) {
         readInput();
-        if (state == State.READING && reader.isAtStart()) {
+        if (state == State.READING && isIdle()) {
             if (!hasReceivedRequest) {
                 return;
             }
@@ -389,6 +379,11 @@
         }
     }
 
+    /** Returns whether no part of a request has arrived. */
+    private boolean isIdle() {
+        return reader.isAtStart() && !turn.hasInputLeft();
+    }
+
     private void reject() {
         reader.fail(new BadRequestException(503, "no room"));
         handleRequest();
--- a/src/main/java/granitefold/net/EventLoop.java
+++ b/src/main/java/granitefold/net/EventLoop.java
@@ -371,7 +371,7 @@
         selectorThread.accept(channel, new SelectorThread.ConnectionHandler() {
             @Override
             public Connection opened(EndPoint endPoint) {
-                ClientConnection client = new ClientConnection(endPoint, EventLoop.this, id, waitingSinceNs);
+                ClientConnection client = new ClientConnection(endPoint, EventLoop.this, selectorThread, id, waitingSinceNs);
                 clients.put(id, client);
                 post(new Event.ClientConnected(id));
                 return client;
--- a/src/main/java/granitefold/net/OutboundHttpConnection.java
+++ b/src/main/java/granitefold/net/OutboundHttpConnection.java
@@ -24,7 +24,9 @@
 
     private final InetSocketAddress address;
     private final int maxLineBytes;
+    private final int maxTurnBytes;
     private final HttpParser parser = new HttpParser(this, MAX_HEAD_BYTES);
+    private SelectorThread selectorThread;
     private SocketChannel channel;
     private ReadingConnection connection;
     private byte[] lineBuffer = EMPTY;
@@ -33,9 +35,11 @@
     private boolean closed;
     private boolean writing;
 
-    OutboundHttpConnection(InetSocketAddress address, int maxLineBytes) {
+    /** @param maxTurnBytes the number of bytes that are read before other connections get their turn */
+    OutboundHttpConnection(InetSocketAddress address, int maxLineBytes, int maxTurnBytes) {
         this.address = address;
         this.maxLineBytes = maxLineBytes;
+        this.maxTurnBytes = maxTurnBytes;
     }
 
     /** Called when the connection is established. */
@@ -53,7 +57,8 @@
     /** Called when the connection failed, or the remote end closed it. */
     abstract void onClosed(String reason);
 
-    final void connect(SelectorThread selectorThread) {
+    final void connect(SelectorThread selector) {
+        selectorThread = selector;
         try {
             channel = SocketChannel.open();
             channel.configureBlocking(false);
@@ -104,6 +109,7 @@
     final void close() {
         closed = true;
         if (connection != null) {
+            connection.turn.end(false);
             connection.close();
         } else if (channel != null) {
             IO.close(channel);
@@ -120,6 +126,7 @@
     /** Reads and parses responses; requests are written to its end point directly. */
     private final class ReadingConnection extends NonBlockingConnection {
         private final ByteBuffer input = BufferUtil.allocate(BUFFER_BYTES);
+        private final ReadTurn turn = new ReadTurn(selectorThread, maxTurnBytes);
 
         ReadingConnection(EndPoint endPoint) {
             super(endPoint);
@@ -148,30 +155,38 @@
 
         @Override
         public void onFillable() {
+            turn.begin();
             try {
-                while (!closed) {
-                    int count = getEndPoint().fill(input);
-                    if (count == 0) {
-                        awaitReadable();
-                        return;
-                    }
-                    if (count < 0) {
-                        // a truncated response is never taken as complete
-                        fail("closed by the remote end");
-                        return;
-                    }
-                    while (!closed && input.hasRemaining()) {
-                        if (parser.isComplete() || parser.isClosed()) {
-                            fail("unsolicited data");
-                            return;
-                        }
-                        parser.parseNext(input);
-                    }
+                boolean mayHaveMore = true;
+                while (mayHaveMore && !closed && !turn.isOver()) {
+                    mayHaveMore = readOnce();
+                }
+                if (!closed) {
+                    turn.end(mayHaveMore);
+                    awaitReadable();
                 }
             } catch (IOException e) {
                 fail("read failed");
             }
         }
+
+        /** Reads and parses what fits into the buffer; returns whether there may be more. */
+        private boolean readOnce() throws IOException {
+            int count = getEndPoint().fill(input);
+            if (count < 0) {
+                // a truncated response is never taken as complete
+                fail("closed by the remote end");
+            }
+            turn.addBytes(count);
+            while (!closed && input.hasRemaining()) {
+                if (parser.isComplete() || parser.isClosed()) {
+                    fail("unsolicited data");
+                } else {
+                    parser.parseNext(input);
+                }
+            }
+            return count > 0;
+        }
     }
 
     // ---------------------------------------------------------------- parser callbacks
@@ -207,6 +222,7 @@
             if (b == '\n') {
                 int length = lineLength;
                 lineLength = 0;
+                connection.turn.addMessage();
                 onLine(lineBuffer, 0, length);
             } else if (lineLength == maxLineBytes) {
                 fail("response line too long");
--- a/src/main/java/granitefold/net/ProbeHttpConnection.java
+++ b/src/main/java/granitefold/net/ProbeHttpConnection.java
@@ -13,7 +13,7 @@
     private final String path;
 
     ProbeHttpConnection(OutboundConnections connections, long worker, String address, String path) {
-        super(Address.of(address), MAX_LINE_BYTES);
+        super(Address.of(address), MAX_LINE_BYTES, ReadTurn.MAX_BYTES);
         this.connections = connections;
         this.worker = worker;
         this.address = address;
--- /dev/null
+++ b/src/main/java/granitefold/net/ReadAheadBuffer.java
@@ -0,0 +1,87 @@
+package granitefold.net;
+
+import granitefold.wire.ClientRequest;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.function.IntPredicate;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.util.BufferUtil;
+
+/**
+ * The input of a client connection that has not been processed yet. It grows while a request is in progress, since the client's
+ * disconnect is only detected by reading on.
+ */
+final class ReadAheadBuffer {
+    private static final int INITIAL_BYTES = 4096;
+
+    /** Reserves memory for a number of bytes, or releases it if negative; returns false if the limit is reached. */
+    private final IntPredicate reserveBytes;
+    private ByteBuffer input = BufferUtil.allocate(INITIAL_BYTES);
+
+    ReadAheadBuffer(IntPredicate reserveBytes) {
+        this.reserveBytes = reserveBytes;
+    }
+
+    /** Returns the input, to be consumed; valid until the buffer is filled or shrunk. */
+    ByteBuffer input() {
+        return input;
+    }
+
+    boolean hasRemaining() {
+        return input.hasRemaining();
+    }
+
+    boolean isFull() {
+        return BufferUtil.isFull(input);
+    }
+
+    void clear() {
+        BufferUtil.clear(input);
+    }
+
+    /** Reads what fits; returns the number of bytes, 0 if there are none, or a negative number at the end of the stream. */
+    int fillFrom(EndPoint endPoint) throws IOException {
+        return endPoint.fill(input);
+    }
+
+    /** Reads everything that has arrived, as far as there is room; returns whether the remote end has closed the connection. */
+    boolean readToEnd(EndPoint endPoint) {
+        try {
+            int count = 1;
+            while (count > 0 && ensureRoom()) {
+                count = fillFrom(endPoint);
+            }
+            return count < 0;
+        } catch (IOException e) {
+            return true;
+        }
+    }
+
+    /** Makes room for more input if there is none; returns false if a limit is reached. */
+    boolean ensureRoom() {
+        return !isFull() || enlarge();
+    }
+
+    private boolean enlarge() {
+        int additional = input.capacity();
+        if (additional > ClientRequest.MAX_BODY_BYTES || !reserveBytes.test(additional)) {
+            return false;
+        }
+        resize(2 * additional);
+        return true;
+    }
+
+    /** Returns to the initial size if the remaining input fits. */
+    void shrink() {
+        if (input.capacity() > INITIAL_BYTES && input.remaining() <= INITIAL_BYTES) {
+            reserveBytes.test(INITIAL_BYTES - input.capacity());
+            resize(INITIAL_BYTES);
+        }
+    }
+
+    private void resize(int capacity) {
+        ByteBuffer resized = BufferUtil.allocate(capacity);
+        BufferUtil.append(resized, input);
+        input = resized;
+    }
+}
--- a/src/main/java/granitefold/net/SelectorThread.java
+++ b/src/main/java/granitefold/net/SelectorThread.java
@@ -10,8 +10,10 @@
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.io.Connection;
@@ -30,6 +32,8 @@
 public final class SelectorThread extends SelectorManager {
     static final int MAX_ACCEPTS_PER_ROUND = 8;
     private static final long ACCEPT_RETRY_DELAY_MS = 10;
+    /** The maximum of rounds that {@link #afterPendingInput} waits for connections with input left. */
+    static final int MAX_INPUT_ROUNDS = 64;
 
     private final TimerHandler timerHandler;
     /** The time of the last select, and how long the loop was busy between the one before and that. */
@@ -39,6 +43,9 @@
     /** Listeners whose accept has failed, with the time of the next attempt. */
     private final Map<SelectionKey, Long> acceptRetryTimesNs = new HashMap<>(1);
 
+    /** The turns that ended before the input of their connections did. */
+    private final Set<ReadTurn> unfinishedTurns = new HashSet<>(0);
+
     /** Runs timers on the same thread as the sockets. */
     public interface TimerHandler {
         /** Returns the milliseconds, rounded up, until {@link #onTimer} is to be called; at most 1000. */
@@ -74,10 +81,28 @@
 
     /**
      * Runs a task after all input that has arrived by now has been processed. That takes three rounds of tasks: one for the keys
-     * selected before, one for the next select, one for the tasks that it submits.
+     * selected before, one for the next select, one for the tasks that it submits. More rounds follow while connections have input left
+     * at the end of their turns, up to a limit: a remote end that sends without a pause must not hold back the task.
      */
     void afterPendingInput(Runnable task) {
-        submit(() -> submit(() -> submit(task)));
+        submit(() -> submit(() -> submit(() -> afterUnfinishedTurns(task, MAX_INPUT_ROUNDS))));
+    }
+
+    private void afterUnfinishedTurns(Runnable task, int maxRounds) {
+        if (unfinishedTurns.isEmpty() || maxRounds == 0) {
+            task.run();
+        } else {
+            submit(() -> afterUnfinishedTurns(task, maxRounds - 1));
+        }
+    }
+
+    /** Records whether a turn has ended before the input of its connection did. */
+    void setUnfinished(ReadTurn turn, boolean unfinished) {
+        if (unfinished) {
+            unfinishedTurns.add(turn);
+        } else {
+            unfinishedTurns.remove(turn);
+        }
     }
 
     /** Accepts connections on the selector's thread, which is blocked while accept is. */
--- a/src/main/java/granitefold/net/SiblingConnection.java
+++ b/src/main/java/granitefold/net/SiblingConnection.java
@@ -21,6 +21,8 @@
  */
 final class SiblingConnection extends NonBlockingConnection {
     private static final int MAX_DATAGRAM_BYTES = 256, KEY_BYTES = 2;
+    /** The maximum of datagrams that are read before other connections get their turn. */
+    private static final int MAX_DATAGRAMS_PER_TURN = 64;
 
     private final DatagramChannelEndPoint datagramEndPoint;
     private final EventLoop loop;
@@ -42,19 +44,9 @@
     @Override
     public void onFillable() {
         try {
-            BufferUtil.clear(input);
-            for (SocketAddress sender = datagramEndPoint.receive(input); sender != null; sender = datagramEndPoint.receive(input)) {
-                int sibling = addresses.indexOf(sender);
-                if (sibling >= 0 && input.remaining() <= MAX_DATAGRAM_BYTES && input.remaining() >= KEY_BYTES) {
-                    byte[] datagram = BufferUtil.toArray(input);
-                    if (Arrays.equals(datagram, datagram.length - KEY_BYTES, datagram.length, key, 0, KEY_BYTES)) {
-                        loop.post(new Event.SiblingMessage(sibling, Arrays.copyOf(datagram, datagram.length - KEY_BYTES)));
-                    } else if (!foreignLogged) {
-                        foreignLogged = true;
-                        EventLog.log(LogEvent.SIBLINGS_FOREIGN, sender);
-                    }
-                }
-                BufferUtil.clear(input);
+            int received = 0;
+            while (received < MAX_DATAGRAMS_PER_TURN && receive()) {
+                received++;
             }
         } catch (IOException e) {
             // counts as a lost datagram; later ones may still arrive
@@ -62,6 +54,26 @@
         awaitReadable();
     }
 
+    /** Receives and handles one datagram; returns false if there is none. */
+    private boolean receive() throws IOException {
+        BufferUtil.clear(input);
+        SocketAddress sender = datagramEndPoint.receive(input);
+        if (sender == null) {
+            return false;
+        }
+        int sibling = addresses.indexOf(sender);
+        if (sibling >= 0 && input.remaining() <= MAX_DATAGRAM_BYTES && input.remaining() >= KEY_BYTES) {
+            byte[] datagram = BufferUtil.toArray(input);
+            if (Arrays.equals(datagram, datagram.length - KEY_BYTES, datagram.length, key, 0, KEY_BYTES)) {
+                loop.post(new Event.SiblingMessage(sibling, Arrays.copyOf(datagram, datagram.length - KEY_BYTES)));
+            } else if (!foreignLogged) {
+                foreignLogged = true;
+                EventLog.log(LogEvent.SIBLINGS_FOREIGN, sender);
+            }
+        }
+        return true;
+    }
+
     void send(int sibling, byte[] message) {
         if (sibling < 0 || sibling >= addresses.size() || message.length > MAX_DATAGRAM_BYTES - KEY_BYTES) {
             return;
--- a/src/main/java/granitefold/net/WatchHttpConnection.java
+++ b/src/main/java/granitefold/net/WatchHttpConnection.java
@@ -11,6 +11,8 @@
 /** The watch on discovery: one long response that carries the updates of the worker list. */
 final class WatchHttpConnection extends OutboundHttpConnection {
     private static final int MAX_LINE_BYTES = 4 * 1024 * 1024;
+    /** The longest line takes no more turns than {@link SelectorThread#MAX_INPUT_ROUNDS}. */
+    private static final int MAX_TURN_BYTES = MAX_LINE_BYTES / SelectorThread.MAX_INPUT_ROUNDS;
 
     private final EventLoop loop;
     private final OutboundConnections connections;
@@ -19,7 +21,7 @@
     private final JsonObjectFramer frames = new JsonObjectFramer(MAX_LINE_BYTES);
 
     WatchHttpConnection(EventLoop loop, OutboundConnections connections, InetSocketAddress discovery, long version) {
-        super(discovery, MAX_LINE_BYTES);
+        super(discovery, MAX_LINE_BYTES, MAX_TURN_BYTES);
         this.loop = loop;
         this.connections = connections;
         this.discovery = discovery;
--- a/src/main/java/granitefold/net/WorkerHttpConnection.java
+++ b/src/main/java/granitefold/net/WorkerHttpConnection.java
@@ -21,7 +21,7 @@
     private String txn;
 
     WorkerHttpConnection(EventLoop loop, OutboundConnections connections, long id, String address) {
-        super(Address.of(address), MAX_LINE_BYTES);
+        super(Address.of(address), MAX_LINE_BYTES, ReadTurn.MAX_BYTES);
         this.loop = loop;
         this.connections = connections;
         this.id = id;
--- a/src/test/java/granitefold/net/SelectorThreadTest.java
+++ b/src/test/java/granitefold/net/SelectorThreadTest.java
@@ -8,6 +8,7 @@
 import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.util.List;
@@ -20,6 +21,7 @@
 import org.eclipse.jetty.io.AbstractConnection;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.util.BufferUtil;
 import org.junit.jupiter.api.Test;
 
 /** Tests the order of reported input, the arrival times of clients, and the closing of a listener. */
@@ -94,6 +96,75 @@
         }
     }
 
+    /** Guards against a task that runs before a connection has read, in several turns, all the input that had arrived. */
+    @Test
+    void inputOfManyTurnsIsReadBeforeTheTaskRuns() throws Exception {
+        int turns = 10;
+        List<String> order = new CopyOnWriteArrayList<>();
+        CountDownLatch taskRan = new CountDownLatch(1);
+        SelectorThread selectorThread = new SelectorThread("test", new IdleTimerHandler());
+        selectorThread.start();
+        try (ServerSocketChannel server = ServerSocketChannel.open()) {
+            server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+            SocketChannel remote = SocketChannel.open(server.getLocalAddress());
+            SocketChannel channel = server.accept();
+            channel.configureBlocking(false);
+            remote.write(ByteBuffer.allocate(turns * TurnConnection.TURN_BYTES));
+            selectorThread.accept(channel, new SelectorThread.ConnectionHandler() {
+                @Override
+                public Connection opened(EndPoint endPoint) {
+                    selectorThread.afterPendingInput(() -> {
+                        order.add("task ran");
+                        taskRan.countDown();
+                    });
+                    return new TurnConnection(endPoint, selectorThread, turns, () -> order.add("input read"));
+                }
+
+                @Override
+                public void failed(Throwable cause) {
+                    order.add("failed " + cause);
+                }
+            });
+            assertTrue(taskRan.await(10, TimeUnit.SECONDS));
+            assertEquals(List.of("input read", "task ran"), order);
+            remote.close();
+        } finally {
+            selectorThread.stop();
+        }
+    }
+
+    /** Reads a fixed number of bytes in each turn. */
+    private static final class TurnConnection extends NonBlockingConnection {
+        static final int TURN_BYTES = 1024;
+        private final ReadTurn turn;
+        private final Runnable allRead;
+        private int turnsLeft;
+
+        TurnConnection(EndPoint endPoint, SelectorThread selectorThread, int turns, Runnable allRead) {
+            super(endPoint);
+            turn = new ReadTurn(selectorThread, TURN_BYTES);
+            turnsLeft = turns;
+            this.allRead = allRead;
+        }
+
+        @Override
+        public void onFillable() {
+            turn.begin();
+            ByteBuffer buffer = BufferUtil.allocate(TURN_BYTES);
+            try {
+                turn.addBytes(getEndPoint().fill(buffer));
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+            turnsLeft--;
+            if (turnsLeft == 0) {
+                allRead.run();
+            }
+            turn.end(turn.isOver() && turnsLeft > 0);
+            awaitReadable();
+        }
+    }
+
     /** A client's deadline starts when it connects, so the time that it waited for a busy loop must be counted. */
     @Test
     void theWaitingTimeOfAClientThatConnectedToABusyLoopIsCounted() throws Exception {
--- /dev/null
+++ b/src/test/java/granitefold/real/EndlessInputIT.java
@@ -0,0 +1,150 @@
+package granitefold.real;
+
+import static granitefold.real.RealProgram.request;
+import static org.testng.Assert.assertEquals;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** A peer that sends without a pause and without an end delays nobody else: each connection is read in bounded turns. */
+public class EndlessInputIT extends RealTest {
+    private static final String CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    private static final String HEALTH_CHECK = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
+    private static final int UNIT_BYTES = 1 << 16;
+    /** The time that the client of an endless answer has. */
+    private static final int DEADLINE_MS = 2_000;
+    /** How late a final answer may be before the request counts as lost. */
+    private static final int MAX_LATE_MS = 500;
+
+    private static String chunkOf(String line) {
+        String body = line.repeat(UNIT_BYTES / line.length());
+        return Integer.toHexString(body.length()) + "\r\n" + body + "\r\n";
+    }
+
+    private static String workerLine(String state) {
+        return "{\"id\":\"t1\",\"from\":\"s-a\",\"state\":\"" + state + "\"}\n";
+    }
+
+    /** How an answer goes on without end. */
+    private enum EndlessAnswer {
+        EMPTY_LINES(CHUNKED, chunkOf("\n")),
+        PROGRESS(CHUNKED, chunkOf(workerLine("running"))),
+        UNKNOWN_STATES(CHUNKED, chunkOf(workerLine("thinking"))),
+        ERROR_BODY(CHUNKED.replace("200 OK", "500 Error"), chunkOf("x")),
+        CHUNK_EXTENSION(CHUNKED + "1;", "x".repeat(UNIT_BYTES)),
+        CHUNKS_OF_ONE_BYTE(CHUNKED, "1\r\n\n\r\n".repeat(UNIT_BYTES / 6));
+
+        final String begin;
+        final String unit;
+
+        EndlessAnswer(String begin, String unit) {
+            this.begin = begin;
+            this.unit = unit;
+        }
+    }
+
+    @DataProvider
+    static Object[][] endlessAnswers() {
+        return Stream.of(EndlessAnswer.values()).map(answer -> new Object[] {answer}).toArray(Object[][]::new);
+    }
+
+    /** Guards against a read loop whose end only the worker decides: the process answered nobody and ran no timer. */
+    @Test(dataProvider = "endlessAnswers")
+    public void endlessAnswerOfAWorkerDelaysNobodyElse(EndlessAnswer answer) throws Exception {
+        start(workerA);
+        Exchange client = program.client().write(request("/once", "t1", "X-Estimate: 2000\r\nX-Remaining-Ms: " + DEADLINE_MS + "\r\n", "soup"));
+        client.socket.setSoTimeout(DEADLINE_MS + MAX_LATE_MS);
+        Exchange attempt = workerA.accept().write(answer.begin);
+        try (Flood flood = new Flood(attempt, answer.unit)) {
+            flood.awaitBegin();
+            assertOthersAreServed();
+            assertEquals(client.readStatus() / 100, 5);
+        }
+    }
+
+    /** Guards against a read loop whose end only discovery decides. */
+    @Test
+    public void discoveryThatSendsWithoutPauseDelaysNobodyElse() throws Exception {
+        Exchange watch = start(workerA);
+        try (Flood flood = new Flood(watch, chunkOf("\n"))) {
+            flood.awaitBegin();
+            assertOthersAreServed();
+        }
+    }
+
+    /** Guards against a read loop whose end only the client decides: each request that is answered at once is followed by another. */
+    @Test
+    public void clientThatPipelinesWithoutPauseDelaysNobodyElse() throws Exception {
+        start(workerA);
+        Exchange client = program.client();
+        Thread reader = new Thread(() -> {
+            try {
+                client.input.transferTo(OutputStream.nullOutputStream());
+            } catch (IOException e) {
+                // the connection has been closed
+            }
+        });
+        reader.setDaemon(true);
+        reader.start();
+        try (Flood flood = new Flood(client, HEALTH_CHECK.repeat(UNIT_BYTES / HEALTH_CHECK.length()))) {
+            flood.awaitBegin();
+            assertOthersAreServed();
+        }
+    }
+
+    /** Guards against a read loop that goes on for as long as datagrams arrive. */
+    @Test
+    public void datagramsWithoutPauseDelayNobodyElse() throws Exception {
+        int senderCount = 4;
+        InetAddress host = InetAddress.getLoopbackAddress();
+        List<DatagramSocket> senders = new ArrayList<>();
+        try (DatagramSocket own = new DatagramSocket(0, host)) {
+            InetSocketAddress target = new InetSocketAddress(host, own.getLocalPort());
+            fields.put("peer_listen", "\"127.0.0.1:" + own.getLocalPort() + "\"");
+            fields.put("settings", RealProgram.settings(LIMITS).replace("\"siblings\":1", "\"siblings\":2"));
+            fields.put("peers", "[\"127.0.0.1:" + own.getLocalPort() + "\",\"127.0.0.1:9\"]");
+            own.close();
+            start(workerA);
+            for (int i = 0; i < senderCount; i++) {
+                DatagramSocket sender = new DatagramSocket(0, host);
+                senders.add(sender);
+                Thread thread = new Thread(() -> sendWithoutPause(sender, target));
+                thread.setDaemon(true);
+                thread.start();
+            }
+            assertOthersAreServed();
+        } finally {
+            senders.forEach(DatagramSocket::close);
+        }
+    }
+
+    private static void sendWithoutPause(DatagramSocket sender, InetSocketAddress target) {
+        try {
+            while (true) {
+                sender.send(new DatagramPacket(new byte[64], 64, target));
+            }
+        } catch (IOException e) {
+            // closed at the end of the test
+        }
+    }
+
+    /** Sends a health check and a job on connections of their own, and expects both to be answered well within the deadline. */
+    private void assertOthersAreServed() throws Exception {
+        Exchange health = program.client().write(HEALTH_CHECK);
+        health.socket.setSoTimeout(DEADLINE_MS / 2);
+        assertEquals(health.readStatus(), 200);
+        Exchange other = send("/ficha", "other", "");
+        other.socket.setSoTimeout(DEADLINE_MS / 2);
+        workerA.accept().startAnswer("done").endAnswer();
+        assertEquals(other.readStatus(), 200);
+    }
+}
--- a/src/test/java/granitefold/real/OpsIT.java
+++ b/src/test/java/granitefold/real/OpsIT.java
@@ -9,6 +9,7 @@
 import granitefold.standin.ClosedLoopClients;
 import granitefold.standin.ClosedLoopClients.End;
 import granitefold.standin.Fleet;
+import granitefold.standin.ground.PatchedJar;
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -18,9 +19,11 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -29,6 +32,8 @@
 public final class OpsIT {
     /** The longest time an answer may take. */
     private static final long MAX_ANSWER_NS = TimeUnit.SECONDS.toNanos(1);
+    private static final String HEALTH_CHECK = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
+    private static final String HANDLE_EVENT = "    private void handle(Event event) {\n";
 
     private final List<Closeable> opened = new ArrayList<>();
     private Fleet fleet;
@@ -63,7 +68,7 @@
     private List<String> callInTime(String call) throws IOException {
         long startNs = System.nanoTime();
         List<String> lines = dispatcher.callOps(call);
-        assertTrue(System.nanoTime() - startNs < MAX_ANSWER_NS, call + " took " + (System.nanoTime() - startNs) / 1_000_000 + " ms");
+        assertInTime(call, startNs);
         return lines;
     }
 
@@ -108,30 +113,67 @@
     /** Guards against answering calls in the event loop, where they wait behind all its other work. */
     @Test
     public void busyEventLoopDelaysNoAnswer() throws Exception {
-        fleet.discovery.flood(20_000);
-        try {
+        Path folder = Files.createTempDirectory("busy");
+        Path jar = PatchedJar.build(Path.of("target/granitefold.jar"), folder, "busy", new PatchedJar.Patch("net/EventLoop.java",
+                HANDLE_EVENT, HANDLE_EVENT + "        if (event instanceof Event.AnsweredLocally) {\n            java.util.concurrent.locks.LockSupport.parkNanos("
+                + 2 * MAX_ANSWER_NS + "L);\n        }\n"));
+        try (RealProgram program = new RealProgram(null, Map.of(RealProgram.JAR_VARIABLE, jar.toString()), Map.of("ops", "\"127.0.0.1:0\""))) {
+            InetSocketAddress ops = program.addressIn("checks: ops on ");
+            program.awaitServing();
             long longest = 0;
-            // Floods until the event loop has kept a client waiting for twice the limit.
+            // Calls until the event loop has kept a client waiting for twice the limit.
             for (long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(60); longest < 2 * MAX_ANSWER_NS;) {
                 assertTrue(System.nanoTime() < until, "the event loop was busy for " + longest / 1_000_000 + " ms at most");
-                long startNs = System.nanoTime();
-                Socket socket = open(dispatcher.address(), "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
-                socket.setSoTimeout(20);
-                for (boolean answered = false; !answered;) {
-                    assertEquals(callInTime("check"), List.of("ACK"));
-                    try {
-                        answered = socket.getInputStream().read() != -2;
-                    } catch (SocketTimeoutException e) {
-                        answered = System.nanoTime() - startNs > 3 * MAX_ANSWER_NS;
-                    }
-                }
-                longest = Math.max(longest, System.nanoTime() - startNs);
+                longest = Math.max(longest, healthCheckNs(program.client().write(HEALTH_CHECK).socket, () -> {
+                    long startNs = System.nanoTime();
+                    assertEquals(program.connect(ops, null).write("check\n").readToEnd(), "ACK\n");
+                    assertInTime("check", startNs);
+                }));
+            }
+        } finally {
+            try (Stream<Path> files = Files.walk(folder)) {
+                files.sorted(Comparator.reverseOrder()).forEach(f -> f.toFile().delete());
+            }
+        }
+    }
+
+    /** Guards against reading discovery's lists in a loop that ends only when discovery pauses: clients and workers had to wait. */
+    @Test
+    public void listsWithoutPauseDelayNoClient() throws Exception {
+        fleet.discovery.flood(20_000);
+        try {
+            for (long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(5); System.nanoTime() < until;) {
+                long waitNs = healthCheckNs(open(dispatcher.address(), HEALTH_CHECK), () -> assertEquals(callInTime("check"), List.of("ACK")));
+                assertTrue(waitNs < MAX_ANSWER_NS, "a client waited for " + waitNs / 1_000_000 + " ms");
             }
         } finally {
             fleet.discovery.flood(0);
         }
     }
 
+    private interface Call {
+        void run() throws IOException;
+    }
+
+    /** Returns how long a health check, already sent, waits for its answer, or three times the limit; makes calls meanwhile. */
+    private static long healthCheckNs(Socket socket, Call call) throws IOException {
+        long startNs = System.nanoTime();
+        socket.setSoTimeout(20);
+        for (boolean answered = false; !answered;) {
+            call.run();
+            try {
+                answered = socket.getInputStream().read() != -2;
+            } catch (SocketTimeoutException e) {
+                answered = System.nanoTime() - startNs > 3 * MAX_ANSWER_NS;
+            }
+        }
+        return System.nanoTime() - startNs;
+    }
+
+    private static void assertInTime(String call, long startNs) {
+        assertTrue(System.nanoTime() - startNs < MAX_ANSWER_NS, call + " took " + (System.nanoTime() - startNs) / 1_000_000 + " ms");
+    }
+
     /** With the smallest limits and 2,000 connections the process stays within its memory limit and still serves. */
     @Test
     public void manyClientsFitIntoTheSmallestMemoryLimit() throws Exception {
