A worker's answer without end ends its attempt at 1 MiB, not at the client's time

Cause: only the length of a line was bounded (512 KiB), neither that of a body nor the number of its lines.

Change: ResponseLimits bounds the body of a worker's response to 1 MiB, twice the longest line. What goes on past that closes the connection: the attempt is broken, the policy decides on a repeat as for any broken attempt, and peer.response tells which worker it was. Framing of chunks does not count. Discovery's watch stays without a bound on its length, since it lives as long as the process.

Tests: EndlessInputIT.endlessAnswerEndsItsAttemptEarlyAndTheJobIsRepeated fails in 4 of its 6 forms without the bound (empty lines, progress, unknown states, chunks of one byte) and passes with it; longestResultInSmallChunksIsDelivered, 64 KiB as six-byte escapes in chunks of one byte, holds before and after.

--- a/src/main/java/granitefold/logging/LogEvent.java
+++ b/src/main/java/granitefold/logging/LogEvent.java
@@ -38,6 +38,7 @@
     CONTROL("control", Level.INFO, "control: {}", "command"),
     CLIENT_REFUSED("client.refused", Level.INFO, "client: {} refused: {}", "address", "reason"),
     WORKER_HEALTH("peer.health", Level.INFO, "worker: {} is {}: {}", "peer", "health", "reason"),
+    WORKER_RESPONSE_REFUSED("peer.response", Level.WARN, "worker: the response of {} is not read on: {}", "peer", "reason"),
     WORKER_PANIC("peer.panic", Level.WARN, "workers: {} of {} appear to be down, so health results are ignored", "down", "ready"),
     PROBES_OFF("probes.off", Level.WARN, "probes: off, {}", "reason"),
     STATE_RECOVERED("state.recovered", Level.INFO, "state: recovered, {} ms old: {} workers, {} buckets, {} keys", "age_ms",
--- a/src/main/java/granitefold/net/OutboundHttpConnection.java
+++ b/src/main/java/granitefold/net/OutboundHttpConnection.java
@@ -23,23 +23,22 @@
     private static final byte[] EMPTY = {};
 
     private final InetSocketAddress address;
-    private final int maxLineBytes;
-    private final int maxTurnBytes;
+    private final ResponseLimits limits;
     private final HttpParser parser = new HttpParser(this, MAX_HEAD_BYTES);
     private SelectorThread selectorThread;
     private SocketChannel channel;
     private ReadingConnection connection;
     private byte[] lineBuffer = EMPTY;
     private int lineLength;
+    /** The bytes of the body received so far. */
+    private long bodyBytes;
     private boolean persistent;
     private boolean closed;
     private boolean writing;
 
-    /** @param maxTurnBytes the number of bytes that are read before other connections get their turn */
-    OutboundHttpConnection(InetSocketAddress address, int maxLineBytes, int maxTurnBytes) {
+    OutboundHttpConnection(InetSocketAddress address, ResponseLimits limits) {
         this.address = address;
-        this.maxLineBytes = maxLineBytes;
-        this.maxTurnBytes = maxTurnBytes;
+        this.limits = limits;
     }
 
     /** Called when the connection is established. */
@@ -54,6 +53,9 @@
     /** Called at the end of a response; {@code reusable}: the connection may carry another request. */
     abstract void onResponseEnd(boolean reusable);
 
+    /** Called when the remote end has sent more than the limits permit, before {@link #onClosed}. */
+    void onLimitExceeded(String reason) { }
+
     /** Called when the connection failed, or the remote end closed it. */
     abstract void onClosed(String reason);
 
@@ -87,6 +89,7 @@
     final void write(ByteBuffer[] message, Runnable written) {
         parser.reset();
         lineLength = 0;
+        bodyBytes = 0;
         writing = true;
         connection.getEndPoint().write(NonBlockingConnection.whenWritten(() -> {
             writing = false;
@@ -123,10 +126,15 @@
         }
     }
 
+    private void exceeded(String reason) {
+        onLimitExceeded(reason);
+        fail(reason);
+    }
+
     /** Reads and parses responses; requests are written to its end point directly. */
     private final class ReadingConnection extends NonBlockingConnection {
         private final ByteBuffer input = BufferUtil.allocate(BUFFER_BYTES);
-        private final ReadTurn turn = new ReadTurn(selectorThread, maxTurnBytes);
+        private final ReadTurn turn = new ReadTurn(selectorThread, limits.turnBytes());
 
         ReadingConnection(EndPoint endPoint) {
             super(endPoint);
@@ -217,6 +225,10 @@
 
     @Override
     public final boolean content(ByteBuffer content) {
+        bodyBytes += content.remaining();
+        if (bodyBytes > limits.bodyBytes()) {
+            exceeded("response too long");
+        }
         while (!closed && status == 200 && content.hasRemaining()) {
             byte b = content.get();
             if (b == '\n') {
@@ -224,11 +236,11 @@
                 lineLength = 0;
                 connection.turn.addMessage();
                 onLine(lineBuffer, 0, length);
-            } else if (lineLength == maxLineBytes) {
-                fail("response line too long");
+            } else if (lineLength == limits.lineBytes()) {
+                exceeded("response line too long");
             } else {
                 if (lineLength == lineBuffer.length) {
-                    lineBuffer = Arrays.copyOf(lineBuffer, Math.min(maxLineBytes, Math.max(256, lineLength * 2)));
+                    lineBuffer = Arrays.copyOf(lineBuffer, Math.min(limits.lineBytes(), Math.max(256, lineLength * 2)));
                 }
                 lineBuffer[lineLength++] = b;
             }
--- a/src/main/java/granitefold/net/ProbeHttpConnection.java
+++ b/src/main/java/granitefold/net/ProbeHttpConnection.java
@@ -6,6 +6,7 @@
 /** One health probe of a worker: a GET on a separate connection, which succeeds if the status of the response is 200. */
 final class ProbeHttpConnection extends OutboundHttpConnection {
     private static final int MAX_LINE_BYTES = 4096;
+    private static final ResponseLimits LIMITS = new ResponseLimits(MAX_LINE_BYTES, ReadTurn.MAX_BYTES, ReadTurn.MAX_BYTES);
 
     private final OutboundConnections connections;
     private final long worker;
@@ -13,7 +14,7 @@
     private final String path;
 
     ProbeHttpConnection(OutboundConnections connections, long worker, String address, String path) {
-        super(Address.of(address), MAX_LINE_BYTES, ReadTurn.MAX_BYTES);
+        super(Address.of(address), LIMITS);
         this.connections = connections;
         this.worker = worker;
         this.address = address;
--- a/src/main/java/granitefold/net/WatchHttpConnection.java
+++ b/src/main/java/granitefold/net/WatchHttpConnection.java
@@ -13,6 +13,7 @@
     private static final int MAX_LINE_BYTES = 4 * 1024 * 1024;
     /** The longest line takes no more turns than {@link SelectorThread#MAX_INPUT_ROUNDS}. */
     private static final int MAX_TURN_BYTES = MAX_LINE_BYTES / SelectorThread.MAX_INPUT_ROUNDS;
+    private static final ResponseLimits LIMITS = new ResponseLimits(MAX_LINE_BYTES, MAX_TURN_BYTES, ResponseLimits.UNLIMITED);
 
     private final EventLoop loop;
     private final OutboundConnections connections;
@@ -21,7 +22,7 @@
     private final JsonObjectFramer frames = new JsonObjectFramer(MAX_LINE_BYTES);
 
     WatchHttpConnection(EventLoop loop, OutboundConnections connections, InetSocketAddress discovery, long version) {
-        super(discovery, MAX_LINE_BYTES, MAX_TURN_BYTES);
+        super(discovery, LIMITS);
         this.loop = loop;
         this.connections = connections;
         this.discovery = discovery;
--- a/src/main/java/granitefold/net/WorkerHttpConnection.java
+++ b/src/main/java/granitefold/net/WorkerHttpConnection.java
@@ -3,6 +3,8 @@
 import granitefold.core.Event;
 import granitefold.core.Payload;
 import granitefold.core.AttemptUpdate;
+import granitefold.logging.EventLog;
+import granitefold.logging.LogEvent;
 import granitefold.wire.Address;
 import granitefold.wire.ClientRequest;
 import granitefold.wire.HttpMessages;
@@ -13,6 +15,9 @@
 final class WorkerHttpConnection extends OutboundHttpConnection {
     /** A result is about as long as a request body may be; JSON escapes may make it several times as long. */
     private static final int MAX_LINE_BYTES = 512 * 1024;
+    /** Leaves room for progress beside the result. */
+    private static final long MAX_BODY_BYTES = 2 * MAX_LINE_BYTES;
+    private static final ResponseLimits LIMITS = new ResponseLimits(MAX_LINE_BYTES, ReadTurn.MAX_BYTES, MAX_BODY_BYTES);
 
     private final EventLoop loop;
     private final OutboundConnections connections;
@@ -21,7 +26,7 @@
     private String txn;
 
     WorkerHttpConnection(EventLoop loop, OutboundConnections connections, long id, String address) {
-        super(Address.of(address), MAX_LINE_BYTES, ReadTurn.MAX_BYTES);
+        super(Address.of(address), LIMITS);
         this.loop = loop;
         this.connections = connections;
         this.id = id;
@@ -76,6 +81,11 @@
         loop.post(new Event.WorkerAnswerEnded(id, reusable));
     }
 
+    @Override
+    void onLimitExceeded(String reason) {
+        EventLog.log(LogEvent.WORKER_RESPONSE_REFUSED, address, reason);
+    }
+
     @Override
     void onClosed(String reason) {
         connections.closed(this, reason);
--- a/src/test/java/granitefold/real/EndlessInputIT.java
+++ b/src/test/java/granitefold/real/EndlessInputIT.java
@@ -1,5 +1,6 @@
 package granitefold.real;
 
+import static granitefold.real.RealProgram.list;
 import static granitefold.real.RealProgram.request;
 import static org.testng.Assert.assertEquals;
 
@@ -20,6 +21,9 @@
     private static final String CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     private static final String HEALTH_CHECK = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
     private static final int UNIT_BYTES = 1 << 16;
+    /** As long as a request's body may be. */
+    private static final int MAX_RESULT_BYTES = 64 * 1024;
+    private static final int SMALL_CHUNK_BYTES = 1;
     /** The time that the client of an endless answer has. */
     private static final int DEADLINE_MS = 2_000;
     /** How late a final answer may be before the request counts as lost. */
@@ -71,6 +75,41 @@
         }
     }
 
+    /** Guards against reading an endless answer until the request's time is over: the client could have been served elsewhere. */
+    @Test(dataProvider = "endlessAnswers")
+    public void endlessAnswerEndsItsAttemptEarlyAndTheJobIsRepeated(EndlessAnswer answer) throws Exception {
+        Exchange watch = start(workerA);
+        Exchange client = send("/ficha", "t1", "");
+        client.socket.setSoTimeout(DEADLINE_MS);
+        Exchange attempt = workerA.accept();
+        workerB.status = "up";
+        workerB.serve("done");
+        watch.writeLines(list(2, true, workerA, workerB));
+        program.awaitLog("discovery: list 2");
+        attempt.write(answer.begin);
+        try (Flood flood = new Flood(attempt, answer.unit)) {
+            assertEquals(client.readStatus(), 200);
+            flood.awaitRefused();
+        }
+    }
+
+    /** Guards against a limit on responses that a result of the longest size does not fit, however it is framed. */
+    @Test
+    public void longestResultInSmallChunksIsDelivered() throws Exception {
+        start(workerA);
+        Exchange client = send("/ficha", "t1", "");
+        Exchange attempt = workerA.accept();
+        String line = "{\"id\":\"t1\",\"from\":\"s-a\",\"state\":\"done\",\"result\":\"" + "\\u0061".repeat(MAX_RESULT_BYTES) + "\"}\n";
+        StringBuilder answer = new StringBuilder(CHUNKED);
+        for (int from = 0; from < line.length(); from += SMALL_CHUNK_BYTES) {
+            String part = line.substring(from, Math.min(line.length(), from + SMALL_CHUNK_BYTES));
+            answer.append(Integer.toHexString(part.length())).append("\r\n").append(part).append("\r\n");
+        }
+        attempt.write(answer.toString()).endAnswer();
+        assertEquals(client.readStatus(), 200);
+        assertEquals(client.body.length(), MAX_RESULT_BYTES);
+    }
+
     /** Guards against a read loop whose end only discovery decides. */
     @Test
     public void discoveryThatSendsWithoutPauseDelaysNobodyElse() throws Exception {
