A round of the event loop that takes over 0.25 s is logged

The time before the first select, the start of the process, does not count.

Test: OpsIT.busyEventLoopDelaysNoAnswer, which holds up the loop for 2 s, now awaits the line.

--- a/src/main/java/granitefold/logging/LogEvent.java
+++ b/src/main/java/granitefold/logging/LogEvent.java
@@ -60,6 +60,7 @@
     CLIENT_OPENED("client.opened", Level.REQUEST, "client {}: connected", "client"),
     CLIENT_CLOSED("client.closed", Level.REQUEST, "client {}: closed: {}", "client", "reason"),
     WORKER_CLOSED("worker.closed", Level.REQUEST, "worker connection {}: closed: {}", "connection", "reason"),
+    LOOP_SLOW("loop.slow", Level.WARN, "event loop: busy for {} ms without a look at its sockets", "ms"),
     RULE_BROKEN("rule.broken", Level.ERROR, "rule broken: {}: {}", "rule", "what"),
     INTERNAL_ERROR("internal.error", Level.ERROR, "internal error on {}", "what"),
     SUPPRESSED_COUNT("repeated", Level.INFO, "the last line of {} stands for {} more", "event", "count");
--- a/src/main/java/granitefold/net/SelectorThread.java
+++ b/src/main/java/granitefold/net/SelectorThread.java
@@ -1,5 +1,7 @@
 package granitefold.net;
 
+import granitefold.logging.EventLog;
+import granitefold.logging.LogEvent;
 import java.io.IOException;
 import java.nio.channels.ClosedChannelException;
 import java.nio.channels.DatagramChannel;
@@ -32,6 +34,8 @@
 public final class SelectorThread extends SelectorManager {
     static final int MAX_ACCEPTS_PER_ROUND = 8;
     private static final long ACCEPT_RETRY_DELAY_MS = 10;
+    /** A round of the loop that takes longer is logged: meanwhile nobody is answered, and no timer runs. */
+    private static final long SLOW_ROUND_NS = TimeUnit.MILLISECONDS.toNanos(250);
     /** The maximum of rounds that {@link #afterPendingInput} waits for connections with input left. */
     static final int MAX_INPUT_ROUNDS = 64;
 
@@ -39,6 +43,7 @@
     /** The time of the last select, and how long the loop was busy between the one before and that. */
     private long lastSelectNs = System.nanoTime();
     private long busyBeforeSelectNs;
+    private boolean selectedBefore;
     private final List<ClientListener> clientListeners = new ArrayList<>(1);
     /** Listeners whose accept has failed, with the time of the next attempt. */
     private final Map<SelectionKey, Long> acceptRetryTimesNs = new HashMap<>(1);
@@ -173,6 +178,14 @@
         });
     }
 
+    /** Logs a round that took too long, except for the time before the first select, in which the process starts. */
+    private void logSlowRound() {
+        if (selectedBefore && busyBeforeSelectNs > SLOW_ROUND_NS) {
+            EventLog.log(LogEvent.LOOP_SLOW, TimeUnit.NANOSECONDS.toMillis(busyBeforeSelectNs));
+        }
+        selectedBefore = true;
+    }
+
     @Override
     protected ManagedSelector newSelector(int id) {
         return new ManagedSelector(this, id) {
@@ -181,6 +194,7 @@
             protected int nioSelect(Selector selector, boolean now) throws IOException {
                 long timeoutMs = Math.min(timerHandler.millisUntilTimer(), millisUntilAcceptRetry());
                 busyBeforeSelectNs = System.nanoTime() - lastSelectNs;
+                logSlowRound();
                 // a client that arrives during a blocking select has not waited: selectNow first finds those that came earlier
                 boolean pollFirst = clientListeners.stream().anyMatch(ClientListener::mayHavePendingClients);
                 int selectedKeys = now || pollFirst || timeoutMs <= 0 ? selector.selectNow() : selector.select(timeoutMs);
--- a/src/test/java/granitefold/real/OpsIT.java
+++ b/src/test/java/granitefold/real/OpsIT.java
@@ -130,6 +130,7 @@
                     assertInTime("check", startNs);
                 }));
             }
+            program.awaitLog("event loop: busy for");
         } finally {
             try (Stream<Path> files = Files.walk(folder)) {
                 files.sorted(Comparator.reverseOrder()).forEach(f -> f.toFile().delete());
