A turn of a connection has 16 messages at most, not 64

A round of the loop is as long as the turns of all connections together. Lines of workers are read in pieces of 4 KiB all the same, and lists are single lines. EndlessInputIT passes, 16 tests.

--- a/src/main/java/granitefold/net/ReadTurn.java
+++ b/src/main/java/granitefold/net/ReadTurn.java
@@ -8,7 +8,7 @@
 final class ReadTurn {
     static final int MAX_BYTES = 16 * 1024;
     /** The maximum of requests or lines: a short one costs more than its bytes do. */
-    private static final int MAX_MESSAGES = 64;
+    private static final int MAX_MESSAGES = 16;
 
     private final SelectorThread selectorThread;
     private final int maxBytes;
