A request that is given up in the turn that sends it is not sent

Cause: Reducer.reduce runs all timers that are due before any effect of the turn is performed. A send puts its effect into the list and its connection into the state SENDING; a last answer later in the turn took SENDING for "nothing was written" (MOOT), rejected the request, and then both effects were performed.

Change: ConnectionPool.drop takes the send of its own turn back, which makes "never ran" true, and says whether the worker may have the request; a send of an earlier turn counts as possibly run, confirmed or not. Taking back was preferred to counting every such send as possibly run: that would answer 500 for requests that nobody has seen, and still run them. Its price: a request whose last bytes wait in a full socket fails (500) where it was rejected (503) before.

ShutdownTest: two tests of the two ways, both fail before.

--- a/src/main/java/granitefold/core/ConnectionPool.java
+++ b/src/main/java/granitefold/core/ConnectionPool.java
@@ -121,11 +121,18 @@
         }
     }
 
-    /** Gives up an attempt: closes its connection at once, so that nothing else is sent on it. */
-    void drop(Attempt attempt) {
+    /**
+     * Gives up an attempt: closes its connection at once, so that nothing else is sent on it. A request that this turn was about to send
+     * is withdrawn. Returns whether the worker may have received the request: one handed to the loop in an earlier turn may be written
+     * already, though the event that confirms it is still queued.
+     */
+    boolean drop(Attempt attempt) {
+        WorkerConnection connection = attempt.connection;
+        boolean withdrawn = effects.removeIf(effect -> effect instanceof Effect.SendRequest send && send.connection() == connection.id);
         timers.cancel(attempt.timer);
-        attempt.connection.currentAttempt = null;
-        close(attempt.connection, Reason.GIVEN_UP);
+        connection.currentAttempt = null;
+        close(connection, Reason.GIVEN_UP);
+        return !withdrawn && connection.state != WorkerConnection.State.CONNECTING;
     }
 
     void closeIdle(Worker worker) {
--- a/src/main/java/granitefold/core/Requests.java
+++ b/src/main/java/granitefold/core/Requests.java
@@ -110,8 +110,7 @@
     void giveUp(RequestContext context) {
         for (Attempt attempt : context.attempts) {
             if (attempt.outcome == null) {
-                attempt.outcome = attempt.connection.state == WorkerConnection.State.WAITING ? Outcome.CANCELLED : Outcome.MOOT;
-                core.pool.drop(attempt);
+                attempt.outcome = core.pool.drop(attempt) ? Outcome.CANCELLED : Outcome.MOOT;
                 core.module.ended(core.now, context.id, attempt.number, true, attempt.outcome, null);
             }
         }
--- a/src/test/java/granitefold/core/ShutdownTest.java
+++ b/src/test/java/granitefold/core/ShutdownTest.java
@@ -53,6 +53,35 @@
         assertTrue(closesListenerEarly(new byte[0]));
     }
 
+    private void requestOpenThroughoutAShutdown() {
+        play(new Event.SocketsOpened(list(State.READY, true), "127.0.0.1:2"));
+        play(new Event.WatchUpdated(null));
+        open(7);
+        play(new Event.RequestArrived(7, new Submission("t", 0, 0, 5 * SECOND, 1_000, 1, 0, 0, new Payload() { })));
+        play(new Event.ShutdownRequested(false));
+    }
+
+    /** Guards against rejecting a request in the turn that sends it: after a pause its connection and the last answers were due together. */
+    @Test
+    void aRequestSentInTheTurnOfTheLastAnswersIsWithdrawn() {
+        requestOpenThroughoutAShutdown();
+        now += SCHEDULE.finishUs();
+        play(new Event.WorkerConnected(0));
+        assertEquals(List.of(true), all(Effect.Answer.class).stream().map(e -> e.answer() instanceof FinalAnswer.Rejected).toList());
+        assertEquals(List.of(), all(Effect.SendRequest.class));
+    }
+
+    /** Guards against rejecting a request that was handed to the loop a turn before: it may be written though that is not confirmed yet. */
+    @Test
+    void aRequestWhoseWriteIsNotConfirmedYetIsNotRejected() {
+        requestOpenThroughoutAShutdown();
+        play(new Event.WorkerConnected(0));
+        now += SCHEDULE.finishUs();
+        play(new Event.ClientConnected(8));
+        assertEquals(List.of(true), all(Effect.Answer.class).stream().map(e -> e.answer() instanceof FinalAnswer.Failed).toList());
+        assertEquals(1, all(Effect.SendRequest.class).size());
+    }
+
     /** Another process serves at the same address: it gets all new connections, and clients of this one are told to reconnect. */
     @Test
     void aSupersededProcessClosesItsListenerAtOnceAndReleasesItsClients() {
