A request that does not fit into the memory for bodies is rejected, not closed

Cause: BufferUtil.isFull compares limit and capacity, so an input buffer that the parser has consumed counted as full. Each body of over 4 KiB enlarged its buffer for nothing, the enlargement counted against the memory for bodies, and where that was used up the connection was closed as a flood before the body's own check could answer 503.

Change: a buffer is full when unprocessed input takes all of it (ReadAheadBuffer.isFull). Only input ahead of an answer enlarges it now.

--- a/src/main/java/granitefold/net/ReadAheadBuffer.java
+++ b/src/main/java/granitefold/net/ReadAheadBuffer.java
@@ -31,8 +31,9 @@
         return input.hasRemaining();
     }
 
+    /** Returns whether unprocessed input takes the whole buffer; what was consumed is overwritten by the next fill. */
     boolean isFull() {
-        return BufferUtil.isFull(input);
+        return input.remaining() == input.capacity();
     }
 
     void clear() {
--- a/src/test/java/granitefold/real/ServeIT.java
+++ b/src/test/java/granitefold/real/ServeIT.java
@@ -320,6 +320,30 @@
         }
     }
 
+    /** Guards against closing the connection of a request that is being read, without an answer, where bodies take up their memory. */
+    @Test
+    public void requestThatDoesNotFitIntoTheMemoryForBodiesIsRejected() throws Exception {
+        // together more than a fifth of the heap of 32 MB
+        int crowdSize = 120;
+        String body = "x".repeat(60_000);
+        fields.put("limits", "{\"cores\":1.0,\"memory_mb\":96,\"sockets\":512}");
+        start(workerA);
+        List<Exchange> crowd = new ArrayList<>();
+        for (int i = 0; i < crowdSize; i++) {
+            String request = request("/ficha", "c" + i, TIME, body);
+            crowd.add(program.client().write(request.substring(0, request.length() - 1)));
+        }
+        assertEquals(crowd.get(crowdSize - 1).readStatus(), 503);
+        for (int i = 0; i < 10; i++) {
+            Exchange client = program.client().write(request("/ficha", "t" + i, TIME, body));
+            assertEquals(client.readStatus(), 503);
+            client.close();
+        }
+        for (Exchange client : crowd) {
+            client.close();
+        }
+    }
+
     @Test
     public void invalidConfigurationPrintsOneLineAndExitsWithTwo() throws Exception {
         for (String config : List.of("{", "[]", "{}", "{\"settings\":{\"classes\":[{\"effect\":\"odd\"}]}}")) {
