Pipelined checks are read on after a buffer that was consumed

What balancers would see: of HTTP checks sent one behind the other, those past the first KiB got no answer until the connection timed out.

Change: the buffer is full when unprocessed input takes all of it; an immediate answer goes on in the loop instead of in a nested call, as for clients.

--- a/src/main/java/granitefold/net/checks/CheckConnection.java
+++ b/src/main/java/granitefold/net/checks/CheckConnection.java
@@ -16,13 +16,14 @@
     protected final ByteBuffer in = BufferUtil.allocate(BUFFER_BYTES);
     private int receivedBytes;
     private boolean closeReported;
+    private boolean readingInput;
 
     CheckConnection(EndPoint endPoint, CheckListener checkListener) {
         super(endPoint);
         this.checkListener = checkListener;
     }
 
-    /** Processes the content of the buffer; returns false if more input is needed. */
+    /** Processes the content of the buffer; returns false if more input, or the end of a write, is awaited. */
     protected abstract boolean processInput();
 
     /** Discards the input that still arrives after the last answer; returns whether there was any. */
@@ -32,29 +33,36 @@
         return discarded;
     }
 
+    /** Reads and processes all available input. An immediate answer calls this again, which has no effect while it is running. */
     @Override
     public void onFillable() {
+        if (readingInput) {
+            return;
+        }
+        readingInput = true;
         try {
-            while (getEndPoint().isOpen()) {
-                if (processInput()) {
-                    continue;
-                }
-                if (BufferUtil.isFull(in)) {
-                    // An answer is being written; reading continues afterwards.
-                    return;
-                }
-                int n = getEndPoint().fill(in);
-                receivedBytes += Math.max(0, n);
-                if (n < 0 || receivedBytes > MAX_RECEIVED_BYTES) {
-                    close();
-                } else if (n == 0) {
-                    awaitReadable();
-                    return;
-                }
-            }
+            while (getEndPoint().isOpen() && (processInput() || readOnce())) { }
         } catch (IOException e) {
             close();
+        } finally {
+            readingInput = false;
+        }
+    }
+
+    /** Reads what fits into the buffer; returns whether there is more to process. */
+    private boolean readOnce() throws IOException {
+        if (in.remaining() == in.capacity()) {
+            // an answer is being written; reading continues afterwards
+            return false;
+        }
+        int count = getEndPoint().fill(in);
+        receivedBytes += Math.max(0, count);
+        if (count < 0 || receivedBytes > MAX_RECEIVED_BYTES) {
+            close();
+        } else if (count == 0) {
+            awaitReadable();
         }
+        return count > 0;
     }
 
     @Override
--- a/src/main/java/granitefold/net/checks/HttpCheckConnection.java
+++ b/src/main/java/granitefold/net/checks/HttpCheckConnection.java
@@ -55,7 +55,7 @@
         parser.parseNext(in);
         if (complete || rejection != null) {
             answer();
-            return false;
+            return !writing;
         }
         return true;
     }
--- a/src/test/java/granitefold/real/ChecksIT.java
+++ b/src/test/java/granitefold/real/ChecksIT.java
@@ -124,6 +124,19 @@
         awaitAgentLine("all is well");
     }
 
+    /** Guards against taking a buffer whose content is processed for a full one: the rest of pipelined checks was never read. */
+    @Test
+    public void pipelinedChecksAreAllAnswered() throws Exception {
+        // as many as the limit of 64 KiB for a connection holds
+        int checkCount = 1_900;
+        start("");
+        Exchange checker = program.connect(httpAddress, null);
+        checker.write("GET /livez HTTP/1.1\r\nHost: c\r\n\r\n".repeat(checkCount));
+        for (int i = 0; i < checkCount; i++) {
+            assertEquals(checker.readStatus(), 200, "check " + i);
+        }
+    }
+
     /** Silent checkers, flooding checkers and 500 connections at once: clients and other checks are still answered. */
     @Test
     public void misbehavingCheckersDoNotDisturbOthers() throws Exception {
