--- a/src/test/java/granitefold/real/EndlessInputIT.java
+++ b/src/test/java/granitefold/real/EndlessInputIT.java
@@ -45,6 +45,10 @@
         UNKNOWN_STATES(CHUNKED, chunkOf(workerLine("thinking"))),
         ERROR_BODY(CHUNKED.replace("200 OK", "500 Error"), chunkOf("x")),
         CHUNK_EXTENSION(CHUNKED + "1;", "x".repeat(UNIT_BYTES)),
+        LINES_BEFORE_THE_HEAD("", "\r\n".repeat(UNIT_BYTES / 2)),
+        INFORMATIONAL_RESPONSES("", "HTTP/1.1 100 Continue\r\n\r\n".repeat(UNIT_BYTES / 25)),
+        HEAD("HTTP/1.1 200 OK\r\n", "X-A: b\r\n".repeat(UNIT_BYTES / 8)),
+        TRAILER(CHUNKED + "0\r\n", "X-A: b\r\n".repeat(UNIT_BYTES / 8)),
         CHUNKS_OF_ONE_BYTE(CHUNKED, "1\r\n\n\r\n".repeat(UNIT_BYTES / 6));
 
         final String begin;
