Long lines of workers count as memory that is held

What callers would see: the process ends for want of memory ("Terminating due to java.lang.OutOfMemoryError", 96 MB, 256 descriptors, 90 connections that each hold 448 KiB of a line), and with it everything that it had taken on.

Cause: a line may have 512 KiB, on each of up to 104 connections, and was counted nowhere; only bodies of requests were.

Change: HeldMemory, taken out of EventLoop, counts lines past the 8 KiB that a connection keeps anyway. A line that doesn't fit ends its attempt, told by peer.response.

--- a/src/main/java/granitefold/net/ClientConnection.java
+++ b/src/main/java/granitefold/net/ClientConnection.java
@@ -73,9 +73,9 @@
         this.selectorThread = selectorThread;
         this.id = id;
         this.waitingSinceNs = waitingSinceNs;
-        input = new ReadAheadBuffer(loop::reserveBodyBytes);
+        input = new ReadAheadBuffer(loop.heldMemory()::reserveForBody);
         turn = new ReadTurn(selectorThread, ReadTurn.MAX_BYTES);
-        reader = new RequestReader(loop::reserveBodyBytes, this::writeContinue);
+        reader = new RequestReader(loop.heldMemory()::reserveForBody, this::writeContinue);
         proxyHeaderPending = loop.clientSettings().proxyHeaderRequired();
         sourceAddress = endPoint.getRemoteSocketAddress();
     }
--- a/src/main/java/granitefold/net/EventLoop.java
+++ b/src/main/java/granitefold/net/EventLoop.java
@@ -49,8 +49,6 @@
     private static final int SPARE_CLIENT_CONNECTIONS = 16; // client connections beyond those with a request in progress
     /** Time limit of the hand-over: the old version looks for the request four times a second, and it precedes the warm-up. */
     private static final long HANDOVER_TIMEOUT_MS = 700;
-    /** Request bodies may take one part in this many of the heap, which must also hold their copies in transit. */
-    private static final long HELD_BYTES_HEAP_DIVISOR = 5;
 
     private final Config config;
     private final Clock clock = new Clock();
@@ -61,13 +59,12 @@
     private final Map<Long, ClientConnection> clients = new HashMap<>();
     private final CountDownLatch started = new CountDownLatch(1);
     private final CountDownLatch stopped = new CountDownLatch(1);
-    private final long maxHeldBytes = Runtime.getRuntime().maxMemory() / HELD_BYTES_HEAP_DIVISOR;
+    private final HeldMemory heldMemory = new HeldMemory(Runtime.getRuntime().maxMemory());
     private ClientListener listener;
     private boolean reducing;
     private boolean stopping;
     private long wakeAtUs = Long.MAX_VALUE;
     private long lastClientId;
-    private long heldBytes;
     /** Null unless the operator has configured something that exposes the status. */
     private final StatusReporter statusReporter;
     private final OperatorSettings operator;
@@ -382,13 +379,8 @@
         });
     }
 
-    /** Reserves memory for request bodies, or releases it if {@code bytes} is negative; returns false if the limit is reached. */
-    boolean reserveBodyBytes(int bytes) {
-        if (bytes > 0 && heldBytes + bytes > maxHeldBytes) {
-            return false;
-        }
-        heldBytes += bytes;
-        return true;
+    HeldMemory heldMemory() {
+        return heldMemory;
     }
 
     void closed(ClientConnection client, CloseReason reason) {
--- a/src/main/java/granitefold/net/OutboundHttpConnection.java
+++ b/src/main/java/granitefold/net/OutboundHttpConnection.java
@@ -19,7 +19,7 @@
 
 /** An HTTP connection that the dispatcher opens, whose response bodies consist of lines. */
 abstract class OutboundHttpConnection implements SelectorThread.ConnectionHandler, HttpParser.ResponseHandler {
-    private static final int BUFFER_BYTES = 4096, MAX_HEAD_BYTES = 8192, MAX_RETAINED_LINE_BYTES = 8192;
+    private static final int BUFFER_BYTES = 4096, MAX_HEAD_BYTES = 8192, MIN_LINE_BYTES = 256, MAX_RETAINED_LINE_BYTES = 8192;
     private static final byte[] EMPTY = {};
 
     private final InetSocketAddress address;
@@ -53,6 +53,11 @@
     /** Called at the end of a response; {@code reusable}: the connection may carry another request. */
     abstract void onResponseEnd(boolean reusable);
 
+    /** Reserves memory for a long line, or releases it if {@code bytes} is negative; returns false if the limit is reached. */
+    boolean reserveForLine(int bytes) {
+        return true;
+    }
+
     /** Called when the remote end has sent more than the limits permit, before {@link #onClosed}. */
     void onLimitExceeded(String reason) { }
 
@@ -111,6 +116,7 @@
 
     final void close() {
         closed = true;
+        resizeLine(0);
         if (connection != null) {
             connection.turn.end(false);
             connection.close();
@@ -239,16 +245,30 @@
             } else if (lineLength == limits.lineBytes()) {
                 exceeded("response line too long");
             } else {
-                if (lineLength == lineBuffer.length) {
-                    lineBuffer = Arrays.copyOf(lineBuffer, Math.min(limits.lineBytes(), Math.max(256, lineLength * 2)));
-                }
-                lineBuffer[lineLength++] = b;
+                addToLine(b);
             }
         }
         content.position(content.limit());
         return closed;
     }
 
+    private void addToLine(byte b) {
+        if (lineLength == lineBuffer.length && !resizeLine(Math.min(limits.lineBytes(), Math.max(MIN_LINE_BYTES, lineLength * 2)))) {
+            exceeded("no memory for a longer response line");
+            return;
+        }
+        lineBuffer[lineLength++] = b;
+    }
+
+    /** Resizes the buffer for a line; what exceeds the size that an idle connection retains is counted. Returns false if a limit is reached. */
+    private boolean resizeLine(int size) {
+        if (!reserveForLine(Math.max(size, MAX_RETAINED_LINE_BYTES) - Math.max(lineBuffer.length, MAX_RETAINED_LINE_BYTES))) {
+            return false;
+        }
+        lineBuffer = Arrays.copyOf(lineBuffer, size);
+        return true;
+    }
+
     @Override
     public final boolean contentComplete() {
         return false;
@@ -258,7 +278,7 @@
     public final boolean messageComplete() {
         if (lineBuffer.length > MAX_RETAINED_LINE_BYTES) {
             // a single long line must not hold its memory for the lifetime of the connection
-            lineBuffer = EMPTY;
+            resizeLine(0);
         }
         if (!closed) {
             // a response may end before its request is fully written: a second request would then start a concurrent write
--- a/src/main/java/granitefold/net/WorkerHttpConnection.java
+++ b/src/main/java/granitefold/net/WorkerHttpConnection.java
@@ -81,6 +81,11 @@
         loop.post(new Event.WorkerAnswerEnded(id, reusable));
     }
 
+    @Override
+    boolean reserveForLine(int bytes) {
+        return loop.heldMemory().reserveForLine(bytes);
+    }
+
     @Override
     void onLimitExceeded(String reason) {
         EventLog.log(LogEvent.WORKER_RESPONSE_REFUSED, address, reason);
--- a/src/test/java/granitefold/real/EndlessInputIT.java
+++ b/src/test/java/granitefold/real/EndlessInputIT.java
@@ -3,6 +3,7 @@
 import static granitefold.real.RealProgram.list;
 import static granitefold.real.RealProgram.request;
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
 import java.io.OutputStream;
@@ -12,6 +13,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Function;
 import java.util.stream.Stream;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -114,6 +116,48 @@
         assertEquals(client.body.length(), MAX_RESULT_BYTES);
     }
 
+    /** Guards against lines of workers that are not counted: many long ones at once ended the process for want of memory. */
+    @Test
+    public void longLinesOnManyConnectionsEndAttemptsAndNotTheProcess() throws Exception {
+        List<Exchange> clients = startWithSmallestMemory(request -> CHUNKED + chunkOf("x").repeat(7));
+        program.awaitLog("no memory for a longer response line");
+        for (Exchange client : clients) {
+            client.close();
+        }
+        assertEquals(program.client().write(HEALTH_CHECK).readStatus(), 200);
+        assertTrue(program.process.isAlive());
+    }
+
+    /** Guards against counting a line for longer than it is held: long results that come together are answered, the first ones with 200. */
+    @Test
+    public void longResultsOnManyConnectionsAreAllAnswered() throws Exception {
+        List<Exchange> clients = startWithSmallestMemory(request -> {
+            String line = "{\"id\":\"" + request.headers.get("x-txn") + "\",\"state\":\"done\",\"result\":\"" + "\\u0061".repeat(MAX_RESULT_BYTES) + "\"}\n";
+            return CHUNKED + Integer.toHexString(line.length()) + "\r\n" + line + "\r\n0\r\n\r\n";
+        });
+        int served = 0;
+        for (Exchange client : clients) {
+            int status = client.readStatus();
+            assertTrue(status == 200 || status / 100 == 5, "status " + status);
+            served += status == 200 ? 1 : 0;
+        }
+        assertTrue(served > 0);
+        assertTrue(program.process.isAlive());
+    }
+
+    /** Starts with 96 MB and 256 descriptors, and sends a request on each of many connections, which one worker answers like this. */
+    private List<Exchange> startWithSmallestMemory(Function<Exchange, String> answer) throws Exception {
+        int clientCount = 90;
+        fields.put("limits", "{\"cores\":1.0,\"memory_mb\":96,\"sockets\":256}");
+        start(workerA);
+        workerA.answerOnce(answer);
+        List<Exchange> clients = new ArrayList<>();
+        for (int i = 0; i < clientCount; i++) {
+            clients.add(send("/ficha", "t" + i, ""));
+        }
+        return clients;
+    }
+
     /** Guards against a read loop whose end only discovery decides. */
     @Test
     public void discoveryThatSendsWithoutPauseDelaysNobodyElse() throws Exception {
--- a/src/test/java/granitefold/real/RealProgram.java
+++ b/src/test/java/granitefold/real/RealProgram.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 
 /**
  * The built program as a process, started by the deploy file's {@code run}; the test acts as discovery, workers and clients
@@ -255,6 +256,19 @@
             });
         }
 
+        /** Accepts every connection from now on, answers its first request with a text, and leaves the connection open. */
+        void answerOnce(Function<Exchange, String> answer) {
+            startDaemon(() -> {
+                while (true) {
+                    Exchange e = new Exchange(server.accept());
+                    startDaemon(() -> {
+                        e.read();
+                        e.write(answer.apply(e));
+                    });
+                }
+            });
+        }
+
         private interface IoTask {
             void run() throws IOException;
         }
