The time that a request waits between its turns is told as passed

What a worker would see: a request whose body takes several turns counted from its last turn, so that what the loop did in between was added to the time it may take: 8,953 ms told where 7,359 were left (four pauses of 0.4 s, forced in the test).

Cause: since connections are read in turns, the age of input that is the busy time of one round no longer covers a whole request.

Change: ClientConnection keeps since when input of the current request may have been left unread.

Test: EndlessInputIT.timeThatARequestWaitsBetweenItsTurnsIsCounted fails without the change.

--- a/src/main/java/granitefold/net/ClientConnection.java
+++ b/src/main/java/granitefold/net/ClientConnection.java
@@ -46,6 +46,8 @@
     private final ReadAheadBuffer input;
     private final SelectorThread selectorThread;
     private final ReadTurn turn;
+    /** The earliest time at which input of the current request may have arrived that turns have left unread; 0 if they left none. */
+    private long unreadSinceNs;
     private State state = State.READING;
     private boolean readingInput;
     /** Whether the reducer was notified that a request has begun to arrive. */
@@ -170,6 +172,7 @@
             closeConnection(CloseReason.CLIENT);
         } else if (count == 0) {
             turn.end(false);
+            unreadSinceNs = 0;
             reportPartialRequest();
             awaitReadable();
         } else {
@@ -182,6 +185,9 @@
     /** Lets other connections and the timers run before the input that is left. */
     private void yieldTurn() {
         turn.end(true);
+        if (unreadSinceNs == 0) {
+            unreadSinceNs = System.nanoTime() - TimeUnit.MICROSECONDS.toNanos(maxInputAgeUs());
+        }
         reportPartialRequest();
         if (input.hasRemaining()) {
             selectorThread.submit(this::readInput);
@@ -272,7 +278,8 @@
 
     /** Returns the longest time that input which is read now may have been waiting. */
     private long maxInputAgeUs() {
-        return readingInitialInput ? TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - waitingSinceNs) : loop.maxInputAgeUs();
+        long sinceNs = readingInitialInput ? waitingSinceNs : unreadSinceNs;
+        return sinceNs != 0 ? TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - sinceNs) : loop.maxInputAgeUs();
     }
 
     /** Reads the input that has arrived by now, which shows whether the client has disconnected. */
@@ -323,6 +330,7 @@
         } else {
             state = State.READING;
             requestStarted = false;
+            unreadSinceNs = 0;
             reader.startNext();
             input.shrink();
         }
--- a/src/test/java/granitefold/real/EndlessInputIT.java
+++ b/src/test/java/granitefold/real/EndlessInputIT.java
@@ -13,6 +13,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.stream.Stream;
 import org.testng.annotations.DataProvider;
@@ -22,6 +23,8 @@
 public class EndlessInputIT extends RealTest {
     private static final String CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     private static final String HEALTH_CHECK = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
+    /** How much longer than it is the time of a request may be told to its worker. */
+    private static final int MAX_OVERSTATED_MS = 150;
     private static final int UNIT_BYTES = 1 << 16;
     /** As long as a request's body may be. */
     private static final int MAX_RESULT_BYTES = 64 * 1024;
@@ -224,6 +227,36 @@
         }
     }
 
+    /** Guards against telling a worker too much time: a long request that takes several turns has waited since its first one. */
+    @Test
+    public void timeThatARequestWaitsBetweenItsTurnsIsCounted() throws Exception {
+        int remainingMs = 9_000;
+        int busyMs = 400;
+        int checkCount = 4;
+        try (BusyLoop busyLoop = new BusyLoop(TimeUnit.MILLISECONDS.toNanos(busyMs))) {
+            program = new RealProgram(null, busyLoop.environment(), fields, workerA);
+            program.awaitServing();
+            Exchange client = idleConnection();
+            List<Exchange> checkers = new ArrayList<>();
+            for (int i = 0; i < checkCount; i++) {
+                checkers.add(idleConnection());
+            }
+            pauseProcess();
+            long sentNs = System.nanoTime();
+            client.write(request("/ficha", "t1", "X-Estimate: 2000\r\nX-Remaining-Ms: " + remainingMs + "\r\n", "x".repeat(60_000)));
+            for (Exchange checker : checkers) {
+                checker.write(HEALTH_CHECK);
+            }
+            resumeProcess();
+            Exchange attempt = workerA.accept();
+            long leftMs = remainingMs - TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNs);
+            long toldMs = Long.parseLong(attempt.headers.get("x-remaining-ms"));
+            assertTrue(toldMs <= leftMs + MAX_OVERSTATED_MS, toldMs + " ms told, " + leftMs + " ms left");
+            attempt.startAnswer("done").endAnswer();
+            assertEquals(client.readStatus(), 200);
+        }
+    }
+
     /** Sends a health check and a job on connections of their own, and expects both to be answered well within the deadline. */
     private void assertOthersAreServed() throws Exception {
         Exchange health = program.client().write(HEALTH_CHECK);
--- a/src/test/java/granitefold/real/OpsIT.java
+++ b/src/test/java/granitefold/real/OpsIT.java
@@ -9,7 +9,6 @@
 import granitefold.standin.ClosedLoopClients;
 import granitefold.standin.ClosedLoopClients.End;
 import granitefold.standin.Fleet;
-import granitefold.standin.ground.PatchedJar;
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -19,11 +18,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Stream;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -33,7 +30,6 @@
     /** The longest time an answer may take. */
     private static final long MAX_ANSWER_NS = TimeUnit.SECONDS.toNanos(1);
     private static final String HEALTH_CHECK = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
-    private static final String HANDLE_EVENT = "    private void handle(Event event) {\n";
 
     private final List<Closeable> opened = new ArrayList<>();
     private Fleet fleet;
@@ -113,11 +109,8 @@
     /** Guards against answering calls in the event loop, where they wait behind all its other work. */
     @Test
     public void busyEventLoopDelaysNoAnswer() throws Exception {
-        Path folder = Files.createTempDirectory("busy");
-        Path jar = PatchedJar.build(Path.of("target/granitefold.jar"), folder, "busy", new PatchedJar.Patch("net/EventLoop.java",
-                HANDLE_EVENT, HANDLE_EVENT + "        if (event instanceof Event.AnsweredLocally) {\n            java.util.concurrent.locks.LockSupport.parkNanos("
-                + 2 * MAX_ANSWER_NS + "L);\n        }\n"));
-        try (RealProgram program = new RealProgram(null, Map.of(RealProgram.JAR_VARIABLE, jar.toString()), Map.of("ops", "\"127.0.0.1:0\""))) {
+        try (BusyLoop busyLoop = new BusyLoop(2 * MAX_ANSWER_NS);
+                RealProgram program = new RealProgram(null, busyLoop.environment(), Map.of("ops", "\"127.0.0.1:0\""))) {
             InetSocketAddress ops = program.addressIn("checks: ops on ");
             program.awaitServing();
             long longest = 0;
@@ -131,10 +124,6 @@
                 }));
             }
             program.awaitLog("event loop: busy for");
-        } finally {
-            try (Stream<Path> files = Files.walk(folder)) {
-                files.sorted(Comparator.reverseOrder()).forEach(f -> f.toFile().delete());
-            }
         }
     }
 
