Test: input without end does not hold up a planned end

Discovery sends without a pause while the process is told to end: the open request gets its answer and the process stops within 1.2 s, before the kill of deadlines of 0.5 s.

--- a/src/test/java/granitefold/real/EndlessInputIT.java
+++ b/src/test/java/granitefold/real/EndlessInputIT.java
@@ -171,6 +171,24 @@
         }
     }
 
+    /** Guards against a planned end that waits for input without end to be read: the process would be killed. */
+    @Test
+    public void inputWithoutEndDoesNotHoldUpAPlannedEnd() throws Exception {
+        useDeadlines(500);
+        Exchange watch = start(workerA);
+        Exchange client = send("/once", "t1", "");
+        workerA.accept().startAnswer("started");
+        try (Flood flood = new Flood(watch, chunkOf("\n"))) {
+            flood.awaitBegin();
+            program.signal("TERM");
+            assertEquals(client.readStatus(), 500);
+            client.close();
+            awaitExit();
+        }
+        // the platform kills no sooner than the longest deadline and 0.7 s after the signal
+        assertTrue(between("phase: DRAINING", "phase: STOPPED").toMillis() < 1_200);
+    }
+
     /** Guards against a read loop whose end only the client decides: each request that is answered at once is followed by another. */
     @Test
     public void clientThatPipelinesWithoutPauseDelaysNobodyElse() throws Exception {
