Test: wait for the report of a phase that was just logged

The line is logged before the report is published, and checks are answered on a thread of their own. Forced by a pause of 50 ms before Effect.PublishReport in a scratch copy: the test fails at the same line; asking until the agent says so passes. The agent still has to say 'stopped' while the request is open.

--- a/src/test/java/granitefold/real/ChecksIT.java
+++ b/src/test/java/granitefold/real/ChecksIT.java
@@ -69,7 +69,8 @@
         assertTrue(sendCommand("ready").contains("the process is to end"));
         assertTrue(askAgent().startsWith("drain #the process is to end"));
         program.awaitLog("phase: FINISHING");
-        assertTrue(askAgent().startsWith("stopped"));
+        // the phase is logged on the event loop's thread just before its report reaches that of the checks
+        assertTrue(awaitAgentLine("stopped").startsWith("stopped"));
         worker.writeLines("{\"id\":\"t1\",\"from\":\"p\",\"state\":\"done\",\"result\":\"made\"}").endAnswer();
         assertEquals(client.readStatus(), 200);
         assertTrue(program.process.waitFor(RealProgram.TIMEOUT_S, TimeUnit.SECONDS));
