--- a/src/test/java/granitefold/real/EndlessInputIT.java
+++ b/src/test/java/granitefold/real/EndlessInputIT.java
@@ -12,6 +12,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -33,6 +34,9 @@
     private static final int DEADLINE_MS = 2_000;
     /** How late a final answer may be before the request counts as lost. */
     private static final int MAX_LATE_MS = 500;
+    /** How long a job of class ficha may take to be on time. */
+    private static final int ON_TIME_MS = 300;
+    private static final int SAMPLES = 9;
 
     private static String chunkOf(String line) {
         String body = line.repeat(UNIT_BYTES / line.length());
@@ -193,22 +197,48 @@
     @Test
     public void clientThatPipelinesWithoutPauseDelaysNobodyElse() throws Exception {
         start(workerA);
-        Exchange client = program.client();
-        Thread reader = new Thread(() -> {
-            try {
-                client.input.transferTo(OutputStream.nullOutputStream());
-            } catch (IOException e) {
-                // the connection has been closed
-            }
-        });
-        reader.setDaemon(true);
-        reader.start();
-        try (Flood flood = new Flood(client, HEALTH_CHECK.repeat(UNIT_BYTES / HEALTH_CHECK.length()))) {
+        try (Flood flood = new Flood(readInBackground(program.client()), HEALTH_CHECK.repeat(UNIT_BYTES / HEALTH_CHECK.length()))) {
             flood.awaitBegin();
             assertOthersAreServed();
         }
     }
 
+    /** Requests that cost much more to parse than others of the same length. */
+    private enum ExpensiveRequest {
+        CHUNKS_OF_ONE_BYTE("Transfer-Encoding: chunked\r\n\r\n" + "1\r\nx\r\n".repeat(20_000) + "0\r\n\r\n"),
+        SHORT_TRAILERS("Transfer-Encoding: chunked\r\n\r\n" + "1\r\nx\r\n".repeat(5_000) + "0\r\n" + "a:b\r\n".repeat(1_600) + "\r\n");
+
+        final String text;
+
+        ExpensiveRequest(String end) {
+            // rejected at once, so that the next one follows
+            text = "POST /ficha HTTP/1.1\r\nHost: x\r\nX-Txn: flood\r\nX-Org: acme\r\nX-Remaining-Ms: 0\r\n" + end;
+        }
+    }
+
+    @DataProvider
+    static Object[][] expensiveRequests() {
+        return Stream.of(ExpensiveRequest.values()).map(request -> new Object[] {request}).toArray(Object[][]::new);
+    }
+
+    /** Guards against turns that are measured by what is read ahead instead of what is parsed: one client made all others late. */
+    @Test(dataProvider = "expensiveRequests")
+    public void requestsThatAreExpensiveToParseDelayNobodyElse(ExpensiveRequest request) throws Exception {
+        start(workerA);
+        workerA.serve("done");
+        try (Flood flood = new Flood(readInBackground(program.client()), request.text)) {
+            flood.awaitBegin();
+            List<Long> timesMs = new ArrayList<>();
+            for (int i = 0; i < SAMPLES; i++) {
+                long sentNs = System.nanoTime();
+                assertEquals(send("/ficha", "other-" + i, "").readStatus(), 200);
+                timesMs.add(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNs));
+            }
+            Collections.sort(timesMs);
+            assertTrue(timesMs.get(SAMPLES / 2) <= ON_TIME_MS, timesMs + " ms");
+        }
+    }
+
     /** Guards against a read loop that goes on for as long as datagrams arrive. */
     @Test
     public void datagramsWithoutPauseDelayNobodyElse() throws Exception {
@@ -275,6 +305,20 @@
         }
     }
 
+    /** Reads and discards whatever is sent to a client. */
+    private static Exchange readInBackground(Exchange client) {
+        Thread reader = new Thread(() -> {
+            try {
+                client.input.transferTo(OutputStream.nullOutputStream());
+            } catch (IOException e) {
+                // the connection has been closed
+            }
+        });
+        reader.setDaemon(true);
+        reader.start();
+        return client;
+    }
+
     /** Sends a health check and a job on connections of their own, and expects both to be answered well within the deadline. */
     private void assertOthersAreServed() throws Exception {
         Exchange health = program.client().write(HEALTH_CHECK);
--- a/src/test/java/granitefold/real/GoneClientsIT.java
+++ b/src/test/java/granitefold/real/GoneClientsIT.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** No attempt is started for a client that has closed its connection. */
@@ -51,6 +52,10 @@
 
     /** A selector returns simultaneous events in any order; this many rounds cover each order. */
     private static final int ROUNDS = 10;
+    /** What follows a request whose client then closes: more than is read ahead of an answer. */
+    private static final int UNREAD_BYTES = 1 << 20;
+    /** The time for a paused process's sockets to take what they can. */
+    private static final long WRITE_MS = 200;
 
     /**
      * Guards against starting an attempt on an idle worker connection before the client's close is read, when a delayed event
@@ -104,6 +109,59 @@
         }
     }
 
+    /** Guards against a close that is not found behind much unread input: the request was sent on although its client had left. */
+    @Test
+    public void closeBehindMuchUnreadInputIsReadBeforeTheAttemptStarts() throws Exception {
+        start(workerA);
+        for (int i = 0; i < ROUNDS; i++) {
+            reuseWorkerConnection();
+            Exchange client = program.client();
+            pauseProcess();
+            String text = request("/ficha", "gone" + i, TIME, "soup") + "x".repeat(UNREAD_BYTES);
+            Thread writer = new Thread(() -> {
+                try {
+                    client.write(text);
+                } catch (IOException e) {
+                    // closed below, if the buffers of the sockets do not hold all of it
+                }
+            });
+            writer.start();
+            writer.join(WRITE_MS);
+            client.close();
+            resumeProcess();
+            assertNextAttemptIs("good" + i);
+        }
+    }
+
+    @DataProvider
+    static Object[][] classes() {
+        return new Object[][] {{"/ficha", ""}, {"/once", ""}, {"/guardar", "Idempotency-Key: k\r\n"}};
+    }
+
+    /** Guards against forgetting an id with its client: the worker may run the job, and ran it again when the id came once more. */
+    @Test(dataProvider = "classes")
+    public void idOfAClientThatLeftIsNotSentAgain(String target, String key) throws Exception {
+        start(workerA);
+        Exchange gone = send(target, "t1", key);
+        Exchange attempt = workerA.accept();
+        gone.close();
+        assertTrue(attempt.awaitClose());
+        assertEquals(send(target, "t1", key).readStatus(), 409);
+        send(target, "t2", key);
+        assertEquals(nextAttempt().headers.get("x-txn"), "t2");
+    }
+
+    /** Guards against remembering an id that never ran: the client may try again after it was turned away. */
+    @Test
+    public void idThatWasTurnedAwayMayBeSentAgain() throws Exception {
+        start(workerA);
+        Exchange turnedAway = program.client().write(request("/ficha", "t1", "X-Remaining-Ms: 0\r\n", "soup"));
+        assertEquals(turnedAway.readStatus(), 503);
+        Exchange again = send("/ficha", "t1", "");
+        workerA.accept().answerAndEnd("done");
+        assertEquals(again.readStatus(), 200);
+    }
+
     private static String doneLine(Exchange e) {
         return "{\"id\":\"" + e.headers.get("x-txn") + "\",\"from\":\"p\",\"state\":\"done\",\"result\":\"made\"}";
     }
--- a/src/test/java/granitefold/real/RealProgram.java
+++ b/src/test/java/granitefold/real/RealProgram.java
@@ -207,7 +207,15 @@
         return connect(address, null);
     }
 
-    private Exchange closeAtEnd(Exchange e) {
+    /** Opens a new client connection with a receive buffer of about this size. */
+    Exchange client(int receiveBufferBytes) throws IOException {
+        Socket socket = new Socket();
+        socket.setReceiveBufferSize(receiveBufferBytes);
+        socket.connect(address, TIMEOUT_S * 1000);
+        return closeAtEnd(new Exchange(socket));
+    }
+
+    private synchronized Exchange closeAtEnd(Exchange e) {
         opened.add(e);
         return e;
     }
