--- a/src/main/java/granitefold/core/Event.java
+++ b/src/main/java/granitefold/core/Event.java
@@ -27,8 +27,13 @@
         }
     }
 
-    /** A client has sent something that needs no decision; the adapter answers it. */
-    record AnsweredLocally(long client) implements Event { }
+    /** A client has sent something that needs no decision; the adapter answers it with this status. */
+    record AnsweredLocally(long client, int status) implements Event {
+        /** Answered with 200. */
+        public AnsweredLocally(long client) {
+            this(client, 200);
+        }
+    }
 
     /** An answer has been written; {@code last}: it told the client to close. */
     record AnswerWritten(long client, boolean last) implements Event { }
--- a/src/main/java/granitefold/core/MetricsPublisher.java
+++ b/src/main/java/granitefold/core/MetricsPublisher.java
@@ -9,6 +9,7 @@
 final class MetricsPublisher {
     /** Well below the half second that metrics may be old when they are read. */
     static final long INTERVAL_US = 100_000;
+    private static final int FIRST_ERROR_STATUS = 400;
 
     private final Reducer reducer;
     private final Timers timers;
@@ -42,6 +43,9 @@
         if (collector != null) {
             collector.replyStarted(client, jobClass, answer instanceof FinalAnswer.Served ? MetricsCollector.ReplyOutcome.SUCCESS
                     : answer instanceof FinalAnswer.Rejected ? MetricsCollector.ReplyOutcome.OVERLOAD : MetricsCollector.ReplyOutcome.ERROR);
+            if (answer instanceof FinalAnswer.Rejected rejected) {
+                collector.refused(rejected.reason().name());
+            }
         }
     }
 
@@ -51,9 +55,15 @@
         }
     }
 
-    void clientClosed(long client) {
+    void answeredLocally(int status) {
+        if (collector != null && status >= FIRST_ERROR_STATUS) {
+            collector.invalidRequest(status);
+        }
+    }
+
+    void clientClosed(long client, CloseReason reason) {
         if (collector != null) {
-            collector.clientClosed(client);
+            collector.clientClosed(client, reason.name());
         }
     }
 
--- a/src/main/java/granitefold/core/Reducer.java
+++ b/src/main/java/granitefold/core/Reducer.java
@@ -173,6 +173,8 @@
                 holdUntilFirstList(e.client(), new EarlyRequest(e.submission(), core.now - e.unreadUs()));
             }
         } else if (event instanceof Event.AnsweredLocally e) {
+            core.trace.answeredLocally(e.client(), e.status());
+            core.metricsPublisher.answeredLocally(e.status());
             core.clients.answering(e.client(), core.now);
         } else if (event instanceof Event.AnswerWritten e) {
             core.metricsPublisher.replyWritten(e.client());
@@ -182,7 +184,7 @@
         } else if (event instanceof Event.ClientClosed e) {
             core.trace.clientClosed(e.client(), e.reason());
             early.remove(e.client());
-            core.metricsPublisher.clientClosed(e.client());
+            core.metricsPublisher.clientClosed(e.client(), e.reason());
             core.clients.closed(e.client());
             requests.clientGone(e.client());
         } else if (event instanceof Event.WorkerConnected e) {
--- a/src/main/java/granitefold/core/RequestTrace.java
+++ b/src/main/java/granitefold/core/RequestTrace.java
@@ -42,6 +42,12 @@
         }
     }
 
+    void answeredLocally(long client, int status) {
+        if (enabled) {
+            log(LogEvent.CLIENT_ANSWERED, client, status);
+        }
+    }
+
     void abandoned(RequestContext request) {
         if (enabled) {
             log(LogEvent.REQUEST_ABANDONED, request.submission.name());
--- a/src/main/java/granitefold/figures/MetricsCollector.java
+++ b/src/main/java/granitefold/figures/MetricsCollector.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 
 /**
  * Counts the outcomes of jobs and the attempts sent to workers. A reply counts once its last byte is written; a reply to a
@@ -18,6 +19,9 @@
     private final MetricsSnapshot.Replies[] replies;
     /** Replies that are being written, by client connection; a connection has at most one. */
     private final Map<Long, PendingReply> pendingReplies = new HashMap<>();
+    private final Map<String, Long> refusals = new TreeMap<>();
+    private final Map<String, Long> invalidRequests = new TreeMap<>();
+    private final Map<String, Long> closedClients = new TreeMap<>();
     private long dispatches;
 
     /** Creates a collector for the given number of job classes. */
@@ -39,9 +43,20 @@
         }
     }
 
-    /** Drops the pending reply of a closed client connection. */
-    public void clientClosed(long client) {
+    /** Counts a rejected job by the name of its reason. */
+    public void refused(String reason) {
+        refusals.merge(reason, 1L, Long::sum);
+    }
+
+    /** Counts a request that was answered with an error before it became a job. */
+    public void invalidRequest(int status) {
+        invalidRequests.merge(Integer.toString(status), 1L, Long::sum);
+    }
+
+    /** Drops the pending reply of a closed client connection, and counts the close by the name of its reason. */
+    public void clientClosed(long client, String reason) {
         pendingReplies.remove(client);
+        closedClients.merge(reason, 1L, Long::sum);
     }
 
     /** Counts an attempt whose request was written completely. */
@@ -51,6 +66,7 @@
 
     /** Returns the metrics now, completed by what others count: requests without an answer, and workers. */
     public MetricsSnapshot snapshot(int unanswered, int targets, int targetsDisabled, boolean ready) {
-        return new MetricsSnapshot(List.of(replies), dispatches, unanswered + pendingReplies.size(), targets, targetsDisabled, ready);
+        return new MetricsSnapshot(List.of(replies), dispatches, unanswered + pendingReplies.size(), targets, targetsDisabled,
+                Map.copyOf(refusals), Map.copyOf(invalidRequests), Map.copyOf(closedClients), MemoryUse.NONE, ready);
     }
 }
--- a/src/main/java/granitefold/figures/MetricsSnapshot.java
+++ b/src/main/java/granitefold/figures/MetricsSnapshot.java
@@ -1,6 +1,7 @@
 package granitefold.figures;
 
 import java.util.List;
+import java.util.Map;
 
 /**
  * The metrics of one process at one moment; all counts start at 0 with the process.
@@ -10,10 +11,19 @@
  * @param concurrent accepted requests without a fully written answer
  * @param targets workers in the list, including those that drain
  * @param targetsDisabled number of those that get no job while others have room
+ * @param refusals rejected jobs by the reason, those without any left out
+ * @param invalidRequests requests answered with an error before they became jobs, by the status of the answer
+ * @param closedClients closed client connections by the reason
+ * @param memory what remote ends make the process hold
  * @param ready whether the process can serve: discovery has answered or the wait for it is over, and no shutdown was requested
  */
 public record MetricsSnapshot(List<Replies> replies, long dispatches, int concurrent, int targets, int targetsDisabled,
-        boolean ready) {
+        Map<String, Long> refusals, Map<String, Long> invalidRequests, Map<String, Long> closedClients, MemoryUse memory, boolean ready) {
+
+    /** Returns the same metrics with this use of memory. */
+    public MetricsSnapshot withMemory(MemoryUse use) {
+        return new MetricsSnapshot(replies, dispatches, concurrent, targets, targetsDisabled, refusals, invalidRequests, closedClients, use, ready);
+    }
 
     /** Final answers of one job class: served, rejected and failed jobs. */
     public record Replies(long success, long overload, long error) {
--- a/src/main/java/granitefold/net/ClientConnection.java
+++ b/src/main/java/granitefold/net/ClientConnection.java
@@ -15,6 +15,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntPredicate;
 import org.eclipse.jetty.io.EndPoint;
 
 /** A connection from a client: reads one request at a time, and detects a disconnect while the request is in progress. */
@@ -69,9 +70,10 @@
         this.selectorThread = selectorThread;
         this.id = id;
         this.waitingSinceNs = waitingSinceNs;
-        input = new ReadAheadBuffer(loop.heldMemory()::reserveForBody);
+        IntPredicate reserveBytes = bytes -> loop.heldMemory().reserve(HeldMemory.Use.REQUEST, bytes);
+        input = new ReadAheadBuffer(reserveBytes);
         turn = new ReadTurn(selectorThread, ReadTurn.MAX_BYTES);
-        reader = new RequestReader(loop.heldMemory()::reserveForBody, this::writeContinue);
+        reader = new RequestReader(reserveBytes, this::writeContinue);
         proxyHandshake = new ProxyHandshake(loop.clientSettings(), endPoint.getRemoteSocketAddress());
     }
 
@@ -233,7 +235,8 @@
         if (reader.isTarget("/healthz")) {
             boolean ready = loop.phase() == Phase.SERVING;
             boolean close = reader.wantsClose();
-            answerDirectly(HttpMessages.plainText(ready ? 200 : 503, loop.phase().name(), close), close);
+            loop.post(new Event.AnsweredLocally(id));
+            answer(HttpMessages.plainText(ready ? 200 : 503, loop.phase().name(), close), close);
             return;
         }
         try {
@@ -250,7 +253,8 @@
                 EventLog.log(LogEvent.CLIENT_REFUSED, proxyHandshake.sourceAddress(), e.getMessage());
             }
             // the input that follows cannot be trusted to be a request: the connection is closed
-            answerDirectly(e.status() == 503 ? HttpMessages.answer(FinalAnswer.Rejected.withDefaultRetry(Refusal.LIMIT), true)
+            loop.post(new Event.AnsweredLocally(id, e.status()));
+            answer(e.status() == 503 ? HttpMessages.answer(FinalAnswer.Rejected.withDefaultRetry(Refusal.LIMIT), true)
                     : HttpMessages.plainText(e.status(), e.getMessage(), true), true);
         }
     }
@@ -281,11 +285,6 @@
         }
     }
 
-    private void answerDirectly(ByteBuffer[] message, boolean last) {
-        loop.post(new Event.AnsweredLocally(id));
-        answer(message, last);
-    }
-
     /** Writes a response; after that the connection reads the next request, or is closed if {@code last}. */
     void answer(ByteBuffer[] message, boolean last) {
         boolean close = last || reader.wantsClose();
--- a/src/main/java/granitefold/net/EventLoop.java
+++ b/src/main/java/granitefold/net/EventLoop.java
@@ -310,7 +310,7 @@
         } else if (effect instanceof Effect.PublishReport e) {
             statusReporter.publish(e.report());
         } else if (effect instanceof Effect.PublishMetrics e) {
-            figures = e.metrics();
+            figures = e.metrics().withMemory(heldMemory.snapshot());
             if (processes != null && figures.ready()) {
                 processes.register();
             }
--- a/src/main/java/granitefold/net/WorkerHttpConnection.java
+++ b/src/main/java/granitefold/net/WorkerHttpConnection.java
@@ -83,7 +83,7 @@
 
     @Override
     boolean reserveForLine(int bytes) {
-        return loop.heldMemory().reserveForLine(bytes);
+        return loop.heldMemory().reserve(HeldMemory.Use.RESPONSE_LINE, bytes);
     }
 
     @Override
--- a/src/main/java/granitefold/wire/MetricsJson.java
+++ b/src/main/java/granitefold/wire/MetricsJson.java
@@ -2,11 +2,14 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
+import granitefold.figures.MemoryUse;
 import granitefold.figures.MetricsSnapshot;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 
 /** Encodes a snapshot of the dispatcher's metrics as one JSON object on one line. */
 public final class MetricsJson {
@@ -33,10 +36,34 @@
             generator.writeNumberField("concurrent", metrics.concurrent());
             generator.writeNumberField("targets", metrics.targets());
             generator.writeNumberField("targets_disabled", metrics.targetsDisabled());
+            writeCounts(generator, "refusals", metrics.refusals());
+            writeCounts(generator, "invalid_requests", metrics.invalidRequests());
+            writeCounts(generator, "closed_clients", metrics.closedClients());
+            writeMemory(generator, metrics.memory());
             generator.writeEndObject();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
         return out.toByteArray();
     }
+
+    private static void writeCounts(JsonGenerator generator, String name, Map<String, Long> counts) throws IOException {
+        generator.writeObjectFieldStart(name);
+        for (Map.Entry<String, Long> count : new TreeMap<>(counts).entrySet()) {
+            generator.writeNumberField(count.getKey(), count.getValue());
+        }
+        generator.writeEndObject();
+    }
+
+    private static void writeMemory(JsonGenerator generator, MemoryUse memory) throws IOException {
+        generator.writeObjectFieldStart("memory");
+        generator.writeNumberField("requests", memory.requests());
+        generator.writeNumberField("answers", memory.answers());
+        generator.writeNumberField("response_lines", memory.responseLines());
+        generator.writeNumberField("worker_lists", memory.workerLists());
+        generator.writeNumberField("peak", memory.peak());
+        generator.writeNumberField("limit", memory.limit());
+        generator.writeNumberField("refused", memory.refused());
+        generator.writeEndObject();
+    }
 }
--- a/src/test/java/granitefold/real/OpsIT.java
+++ b/src/test/java/granitefold/real/OpsIT.java
@@ -89,6 +89,21 @@
         assertEquals(callInTime("check\r"), List.of("ACK"), "CR LF must end a call as well");
     }
 
+    /** Guards against an incident without evidence: why requests are turned away, why clients are closed and what memory holds is counted. */
+    @Test
+    public void varsTellWhatIsTurnedAwayClosedAndHeld() throws Exception {
+        Socket client = open(dispatcher.address(), "POST /nowhere HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");
+        client.getInputStream().readAllBytes();
+        client.close();
+        long untilNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+        while (vars().get("closed_clients").path("CLIENT").asInt() == 0 && System.nanoTime() - untilNs < 0) {
+            Thread.onSpinWait();
+        }
+        assertEquals(vars().get("closed_clients").path("CLIENT").asInt(), 1);
+        assertEquals(vars().get("invalid_requests").get("404").asInt(), 1);
+        assertTrue(vars().get("memory").get("limit").asLong() > 0);
+    }
+
     /** The connection closes while the caller is still writing, and the caller can still read the answer. */
     @Test
     public void oversizedCallIsRejectedWithoutReadingTheRest() throws Exception {
