--- a/src/main/java/granitefold/net/ClientConnection.java
+++ b/src/main/java/granitefold/net/ClientConnection.java
@@ -240,8 +240,8 @@
             return;
         }
         try {
-            Submission submission = reader.decode(loop.vocabulary());
             wantsMetrics = loop.clientSettings().loadMetrics() && reader.hasHeader(StatusReporter.METRICS_REQUEST_HEADER, "text");
+            Submission submission = reader.decode(loop.vocabulary());
             if (input.readToEnd(getEndPoint())) {
                 // a loop that reads the request late must not start an attempt for a client that left long ago
                 closeConnection(CloseReason.CLIENT);
