A client's turn is measured by what is parsed, not by what is read ahead

What callers saw: while one client pipelined requests that cost much to parse (chunks of one byte, many short trailers or fields), all others waited 0.9 s in the middle and up to 1.8 s; 0.3 s is on time for the tightest class. Cause: a turn counted the bytes of readOnce alone. handleRequest reads on to find the client's close, up to 128 KiB, and that input was parsed in the same turn or the next one without being counted: up to 16 requests of 128 KiB, some 350,000 chunks. Change: ClientConnection parses no more than is left of the turn and counts what was parsed, whenever it was read.

--- a/src/main/java/granitefold/net/ClientConnection.java
+++ b/src/main/java/granitefold/net/ClientConnection.java
@@ -144,7 +144,7 @@
             return false;
         }
         if (state == State.READING && input.hasRemaining()) {
-            if (reader.read(input.input()) && state == State.READING) {
+            if (parseWithinTurn() && state == State.READING) {
                 turn.addMessage();
                 handleRequest();
             }
@@ -172,11 +172,25 @@
             awaitReadable();
         } else {
             inputArrived = true;
-            turn.addBytes(count);
         }
         return count > 0;
     }
 
+    /**
+     * Parses no more than is left of the turn, and returns whether the request has ended. Input may have been read ahead in an
+     * earlier turn: what counts is what is parsed.
+     */
+    private boolean parseWithinTurn() {
+        ByteBuffer unparsed = input.input();
+        int begin = unparsed.position();
+        int end = unparsed.limit();
+        unparsed.limit(Math.min(end, begin + turn.remainingBytes()));
+        boolean ended = reader.read(unparsed);
+        unparsed.limit(end);
+        turn.addBytes(unparsed.position() - begin);
+        return ended;
+    }
+
     /** Lets other connections and the timers run before the input that is left. */
     private void yieldTurn() {
         turn.end(true);
--- a/src/main/java/granitefold/net/ReadTurn.java
+++ b/src/main/java/granitefold/net/ReadTurn.java
@@ -16,7 +16,7 @@
     private int messages;
     private boolean inputLeft;
 
-    /** @param maxBytes the number of bytes that a connection may read in one turn */
+    /** @param maxBytes the number of bytes that a connection may process in one turn */
     ReadTurn(SelectorThread selectorThread, int maxBytes) {
         this.selectorThread = selectorThread;
         this.maxBytes = maxBytes;
@@ -35,6 +35,11 @@
         messages++;
     }
 
+    /** Returns how many more bytes may be processed in this turn. */
+    int remainingBytes() {
+        return Math.max(0, maxBytes - bytes);
+    }
+
     /** Returns whether the connection has to stop reading and let others run. */
     boolean isOver() {
         return bytes >= maxBytes || messages >= MAX_MESSAGES;
