A request with more behind it than is read is rejected, not sent on

Cause: the close is found by reading to the end. Where the read-ahead buffer was full first, readToEnd told 'open', which it could not know. The connection was closed as a flood right after, when the request was out. Change: readToEnd tells FULL apart from OPEN; the request is answered with 503 and the connection closed, as clients send one request at a time. A connection that only discards input gives its read-ahead memory back. Class of bug: 'nothing seen' taken for 'nothing there'.

--- a/src/main/java/granitefold/net/ClientConnection.java
+++ b/src/main/java/granitefold/net/ClientConnection.java
@@ -153,6 +153,7 @@
         if (state == State.LINGERING) {
             discardedBytes += input.input().remaining();
             input.clear();
+            input.shrink();
             if (discardedBytes > MAX_DISCARDED_BYTES) {
                 closeConnection(CloseReason.FLOOD);
                 return false;
@@ -256,11 +257,11 @@
         try {
             wantsMetrics = loop.clientSettings().loadMetrics() && reader.hasHeader(StatusReporter.METRICS_REQUEST_HEADER, "text");
             Submission submission = reader.decode(loop.vocabulary());
-            if (input.readToEnd(getEndPoint())) {
-                // a loop that reads the request late must not start an attempt for a client that left long ago
-                closeConnection(CloseReason.CLIENT);
-            } else {
-                loop.post(new Event.RequestArrived(id, submission, maxInputAgeUs()));
+            // a loop that reads the request late must not start an attempt for a client that left long ago
+            switch (input.readToEnd(getEndPoint())) {
+                case CLOSED -> closeConnection(CloseReason.CLIENT);
+                case FULL -> throw new BadRequestException(503, "more input ahead of an answer than is read");
+                case OPEN -> loop.post(new Event.RequestArrived(id, submission, maxInputAgeUs()));
             }
         } catch (BadRequestException e) {
             if (loop.clientSettings().proxyHeaderRequired()) {
--- a/src/main/java/granitefold/net/ReadAheadBuffer.java
+++ b/src/main/java/granitefold/net/ReadAheadBuffer.java
@@ -45,16 +45,29 @@
         return endPoint.fill(input);
     }
 
-    /** Reads everything that has arrived, as far as there is room; returns whether the remote end has closed the connection. */
-    boolean readToEnd(EndPoint endPoint) {
+    /** What became of reading everything that had arrived. */
+    enum ReadResult {
+        /** Everything was read, and the connection is open. */
+        OPEN,
+        /** The remote end has closed the connection. */
+        CLOSED,
+        /** There is no room for more: whether the remote end has closed the connection is not known. */
+        FULL
+    }
+
+    /** Reads everything that has arrived, as far as there is room. */
+    ReadResult readToEnd(EndPoint endPoint) {
         try {
             int count = 1;
-            while (count > 0 && ensureRoom()) {
+            while (count > 0) {
+                if (!ensureRoom()) {
+                    return ReadResult.FULL;
+                }
                 count = fillFrom(endPoint);
             }
-            return count < 0;
+            return count < 0 ? ReadResult.CLOSED : ReadResult.OPEN;
         } catch (IOException e) {
-            return true;
+            return ReadResult.CLOSED;
         }
     }
 
