A request before the first list leaves no timer behind when its client goes

Seen by reading: while a process waits for discovery's first list, each request sets a timer for its deadline, which a client may tell to be years ahead. The timer was not cancelled with the request and held it, its body included, until then: connections that came and went in the first 0.2 to 0.5 s of a process grew its heap for good. Change: EarlyRequests holds such requests with their timers and cancels them together. Measured: ReducerTest.earlyRequestOfAGoneClientLeavesNoTimer is new; it failed on the code before by construction (one timer more was left), which was not run apart.

--- a/src/main/java/granitefold/core/Reducer.java
+++ b/src/main/java/granitefold/core/Reducer.java
@@ -8,9 +8,7 @@
 import granitefold.policy.DispatchPolicy;
 import granitefold.recovery.LearnedState;
 import java.util.Collections;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.function.LongConsumer;
 
 /**
@@ -39,12 +37,10 @@
     private final SiblingTracker siblings;
     /** Whether discovery has sent its first message, or the wait for it has timed out. */
     private boolean listKnown;
-    /** Requests that arrived before {@link #listKnown}, by client. */
-    private final Map<Long, EarlyRequest> early = new LinkedHashMap<>();
+    /** Requests that arrived before {@link #listKnown}. */
+    private final EarlyRequests early;
     private long wakeAt = Long.MAX_VALUE;
 
-    private record EarlyRequest(Submission submission, long at) { }
-
     /** Limits that are not part of the decision module's settings. */
     public record Bounds(int clientConnections, int requests, int workerConnections, long connectTimeoutUs,
             long idleCloseUs) { }
@@ -62,7 +58,8 @@
         this.seed = seed;
         siblings = new SiblingTracker(settings, core.timers, core.effects);
         requests = new Requests(core);
-        lifecycle = new Lifecycle(core, requests, siblings, shutdownSchedule, this::submitEarlyRequests);
+        early = new EarlyRequests(core.timers, requests);
+        lifecycle = new Lifecycle(core, requests, siblings, shutdownSchedule, early::submitAll);
         registry = new WorkerRegistry(core);
         attempts = new Attempts(core, requests, registry);
         core.availabilityMonitor = new AvailabilityMonitor(features.availability(), bounds.clientConnections(), this, core.timers, core.effects);
@@ -109,6 +106,11 @@
         return shutdownSchedule.shutdownTimeoutUs();
     }
 
+    /** Returns the number of timers that are set. */
+    int timerCount() {
+        return core.timers.size();
+    }
+
     int workersDown() {
         return core.health == null ? 0 : core.health.down();
     }
@@ -170,7 +172,7 @@
             if (listKnown) {
                 requests.arrived(e.client(), e.submission(), core.now - e.unreadUs());
             } else {
-                holdUntilFirstList(e.client(), new EarlyRequest(e.submission(), core.now - e.unreadUs()));
+                early.hold(e.client(), e.submission(), core.now - e.unreadUs(), core.now);
             }
         } else if (event instanceof Event.AnsweredLocally e) {
             core.trace.answeredLocally(e.client(), e.status());
@@ -183,7 +185,7 @@
             core.clients.halfClosed(e.client(), core.now);
         } else if (event instanceof Event.ClientClosed e) {
             core.trace.clientClosed(e.client(), e.reason());
-            early.remove(e.client());
+            early.clientGone(e.client());
             core.metricsPublisher.clientClosed(e.client(), e.reason());
             core.clients.closed(e.client());
             requests.clientGone(e.client());
@@ -272,28 +274,12 @@
         boolean first = !listKnown;
         listKnown = true;
         lifecycle.serve();
-        submitEarlyRequests();
+        early.submitAll();
         if (first) {
             core.metricsPublisher.publish();
         }
     }
 
-    private void submitEarlyRequests() {
-        early.forEach((client, e) -> requests.arrived(client, e.submission(), e.at()));
-        early.clear();
-    }
-
-    /** Holds a request until the first list is known, or until only the time to write its answer is left. */
-    private void holdUntilFirstList(long client, EarlyRequest request) {
-        early.put(client, request);
-        long until = request.at() + request.submission().remainingUs() - Requests.ANSWER_MARGIN_US;
-        core.timers.at(Math.max(core.now, until), t -> {
-            if (early.remove(client, request)) {
-                requests.arrived(client, request.submission(), request.at());
-            }
-        });
-    }
-
     private void sweep(long at) {
         core.pool.sweep(core.workers.values(), at);
         core.timers.at(at + SWEEP_INTERVAL_US, this::sweep);
--- a/src/test/java/granitefold/core/ReducerTest.java
+++ b/src/test/java/granitefold/core/ReducerTest.java
@@ -65,6 +65,17 @@
         assertEquals(1, all(Effect.Answer.class).size());
     }
 
+    /** Guards against a timer that holds the request of a gone client until its deadline, which may be years ahead. */
+    @Test
+    void earlyRequestOfAGoneClientLeavesNoTimer() {
+        play(new Event.SocketsOpened(new WorkerList(0, true, List.of()), "127.0.0.1:2"));
+        open(7);
+        int timers = reducer.timerCount();
+        play(new Event.RequestArrived(7, new Submission("t", 0, 0, 1_000 * SECOND, 1_000, 1, 0, 0, new Payload() { })));
+        play(new Event.ClientClosed(7));
+        assertTrue(reducer.timerCount() < timers, "the connection's own timer is gone too");
+    }
+
     /** Retry storms cancel hundreds of requests; none may keep a timer until its deadline. */
     @Test
     void aFinishedRequestLeavesNoTimers() {
