The id of a request that may have run is not sent again

Cause: ids were known only while their request was open; the record went with the client. Change: RequestIds holds the open ids and the ended ones that may have run (hashes; 60 s or the longest deadline or dedup window; the latest 16,384, about 1.6 MB). Such an id gets 409. An id that never ran, a rejection's above all, may come again. ActionGuard checks it once more before each send (ID_SENT_TWICE). One hash of names in place of two.

--- a/src/main/java/granitefold/core/ActionGuard.java
+++ b/src/main/java/granitefold/core/ActionGuard.java
@@ -23,6 +23,8 @@
         TWO_ATTEMPTS_OUT,
         /** No further attempt of an unsafe job if an earlier one may have run. */
         UNSAFE_REPEAT,
+        /** No attempt under the id of an ended request that may have run. */
+        ID_SENT_TWICE,
         /** No two final answers to one request. */
         ANSWERED_TWICE,
         /** No stop of the process with answers owed. */
@@ -60,6 +62,9 @@
                 && request.attempts.stream().anyMatch(other -> other != attempt && (other.outcome == null || !other.outcome.neverRan()))) {
             return violated(Rule.UNSAFE_REPEAT, request);
         }
+        if (core.requestIds.mayHaveRun(request.submission.name(), core.now)) {
+            return violated(Rule.ID_SENT_TWICE, request);
+        }
         // while the connection was opened, the client may have left, the worker been drained, or a time limit passed
         return !request.finished && attempt.worker.state == State.READY && core.now < attempt.startsBy && core.now < attempt.expiresAt;
     }
--- a/src/main/java/granitefold/core/CoreContext.java
+++ b/src/main/java/granitefold/core/CoreContext.java
@@ -17,6 +17,7 @@
     final Map<Long, Worker> workers = new LinkedHashMap<>();
     /** Ends of attempts that occur within a call of the module, reported to it after that call returns. */
     final ArrayDeque<Runnable> deferred = new ArrayDeque<>();
+    final RequestIds requestIds;
     Dispatcher module;
     AvailabilityMonitor availabilityMonitor;
     MetricsPublisher metricsPublisher;
@@ -35,8 +36,9 @@
     final RequestTrace trace;
     ActionGuard guard;
 
-    CoreContext(Reducer.Bounds bounds, boolean traced) {
+    CoreContext(Reducer.Bounds bounds, List<Dispatcher.JobClass> classes, boolean traced) {
         this.bounds = bounds;
+        requestIds = new RequestIds(classes);
         trace = new RequestTrace(traced, effects);
         pool = new ConnectionPool(bounds.workerConnections(), bounds.idleCloseUs(), timers, effects, trace);
         clients = new ClientConnections(bounds.clientConnections(), timers, effects);
--- a/src/main/java/granitefold/core/FinalAnswer.java
+++ b/src/main/java/granitefold/core/FinalAnswer.java
@@ -18,7 +18,7 @@
         }
     }
 
-    /** Not accepted: another request with the same id is still open. */
+    /** Not accepted: another request with the same id is still open, or has ended lately and may have run. */
     record Duplicate() implements FinalAnswer { }
 
     /** Failed: whether the job ran is not known. {@code late}: the client's deadline has passed. */
--- a/src/main/java/granitefold/core/Requests.java
+++ b/src/main/java/granitefold/core/Requests.java
@@ -4,11 +4,9 @@
 import granitefold.Dispatcher.Outcome;
 import granitefold.Dispatcher.Refusal;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 /** The request contexts: each is owed one final answer by its deadline. */
 final class Requests {
@@ -18,8 +16,6 @@
     private final CoreContext core;
     private final Map<Long, RequestContext> contexts = new HashMap<>();
     private final Map<Long, RequestContext> owed = new LinkedHashMap<>();
-    /** The client's ids of the requests in {@link #contexts}. */
-    private final Set<String> names = new HashSet<>();
     private long lastId;
 
     Requests(CoreContext coreContext) {
@@ -55,8 +51,8 @@
             reply(client, submitted, new FinalAnswer.Rejected(blockedForUs, Refusal.FORMER_PROCESS));
             return;
         }
-        if (!names.add(submitted.name())) {
-            // an answer to or a cancel of one of the two could not be told from that of the other
+        if (!core.requestIds.open(submitted.name(), core.now)) {
+            // an answer to or a cancel of one of the two could not be told from that of the other, or the job would run twice
             reply(client, submitted, new FinalAnswer.Duplicate());
             return;
         }
@@ -123,7 +119,7 @@
     void forget(RequestContext context) {
         if (context.finished && context.attempts.stream().allMatch(attempt -> attempt.outcome != null)) {
             if (contexts.remove(context.id) != null) {
-                names.remove(context.submission.name());
+                core.requestIds.ended(context.submission.name(), !context.neverRan(), core.now);
             }
         }
     }
--- a/src/main/java/granitefold/core/StatePersistence.java
+++ b/src/main/java/granitefold/core/StatePersistence.java
@@ -5,10 +5,6 @@
 import granitefold.logging.LogEvent;
 import granitefold.recovery.LearnedStateAging;
 import granitefold.recovery.LearnedState;
-import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -94,13 +90,7 @@
     }
 
     private static long hash(Submission submission) {
-        try {
-            // keys are scoped to a tenant and a class
-            byte[] hash = MessageDigest.getInstance("SHA-256").digest(
-                    (submission.tenant() + " " + submission.jobClass() + " " + submission.repeatKey()).getBytes(StandardCharsets.UTF_8));
-            return ByteBuffer.wrap(hash).getLong();
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("every Java platform has SHA-256", e);
-        }
+        // keys are scoped to a tenant and a class
+        return StableHash.of(submission.tenant() + " " + submission.jobClass() + " " + submission.repeatKey());
     }
 }
--- a/src/main/java/granitefold/core/Worker.java
+++ b/src/main/java/granitefold/core/Worker.java
@@ -2,10 +2,6 @@
 
 import granitefold.Dispatcher;
 import granitefold.Dispatcher.State;
-import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.ArrayDeque;
 
 /** A worker as discovery lists it, with the connections to it. */
@@ -33,11 +29,6 @@
 
     /** Returns the module's id of a worker. It depends on the name alone, so all dispatchers use the same one. */
     static long id(String name) {
-        try {
-            byte[] hash = MessageDigest.getInstance("SHA-256").digest(name.getBytes(StandardCharsets.UTF_8));
-            return ByteBuffer.wrap(hash).getLong() & ID_MASK;
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("every Java platform has SHA-256", e);
-        }
+        return StableHash.of(name) & ID_MASK;
     }
 }
