Parsers of responses keep no cache of fields, and no buffer of a long head

The same class as the heads of requests, on the connections to workers: Jetty's parser keeps a cache of fields from the second response on, about 100 KB a connection, and buffers of up to 16 KB after a long head, as the worker decides. Change: no cache; after a head of over 1 KiB the parser is replaced.

--- a/src/main/java/granitefold/net/OutboundHttpConnection.java
+++ b/src/main/java/granitefold/net/OutboundHttpConnection.java
@@ -19,12 +19,13 @@
 
 /** An HTTP connection that the dispatcher opens, whose response bodies consist of lines. */
 abstract class OutboundHttpConnection implements SelectorThread.ConnectionHandler, HttpParser.ResponseHandler {
-    private static final int BUFFER_BYTES = 4096, MAX_HEAD_BYTES = 8192, MIN_LINE_BYTES = 256, MAX_RETAINED_LINE_BYTES = 8192;
+    private static final int BUFFER_BYTES = 4096, MAX_HEAD_BYTES = 8192, MIN_LINE_BYTES = 256, MAX_RETAINED_LINE_BYTES = 8192,
+            MAX_RETAINED_HEAD_BYTES = 1024;
     private static final byte[] EMPTY = {};
 
     private final InetSocketAddress address;
     private final ResponseLimits limits;
-    private final HttpParser parser = new HttpParser(this, MAX_HEAD_BYTES);
+    private HttpParser parser = newParser();
     private SelectorThread selectorThread;
     private SocketChannel channel;
     private ReadingConnection connection;
@@ -41,6 +42,13 @@
         this.limits = limits;
     }
 
+    private HttpParser newParser() {
+        HttpParser created = new HttpParser(this, MAX_HEAD_BYTES);
+        // it would take 100 KB of each connection
+        created.setHeaderCacheSize(0);
+        return created;
+    }
+
     /** Called when the connection is established. */
     abstract void onConnected();
 
@@ -92,7 +100,12 @@
     }
 
     final void write(ByteBuffer[] message, Runnable written) {
-        parser.reset();
+        if (parser.getHeaderLength() > MAX_RETAINED_HEAD_BYTES) {
+            // a parser keeps its buffers
+            parser = newParser();
+        } else {
+            parser.reset();
+        }
         lineLength = 0;
         bodyBytes = 0;
         writing = true;
