Answers are counted as held memory until they are written

Where clients did not read, up to 64 KiB of answer for each connection were held for up to 2 s and counted nowhere, so that requests were taken on top of them. Change: ResponseWriter accounts for each answer; answers are owed and never refused, but where they fill the account further requests that need room are rejected (503). PlantedIT's line for 'some requests are answered twice' moved to ResponseWriter; the planted defect is the same.

--- a/src/main/java/granitefold/net/ClientConnection.java
+++ b/src/main/java/granitefold/net/ClientConnection.java
@@ -13,7 +13,6 @@
 import granitefold.wire.HttpMessages;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntPredicate;
 import org.eclipse.jetty.io.EndPoint;
@@ -22,8 +21,6 @@
 final class ClientConnection extends NonBlockingConnection {
     /** The limit of input discarded after the last response: closing over unread input would reset the connection and lose the response. */
     private static final int MAX_DISCARDED_BYTES = 4 * ClientRequest.MAX_BODY_BYTES;
-    private static final ByteBuffer CONTINUE =
-            ByteBuffer.wrap("HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII)).asReadOnlyBuffer();
 
     private enum State {
         READING,
@@ -37,6 +34,7 @@
     private final EventLoop loop;
     private final long id;
     private final RequestReader reader;
+    private final ResponseWriter responses;
     /** The earliest time at which the connection, and its first request with it, may have arrived. */
     private final long waitingSinceNs;
     /** Whether the input that arrived with the connection is being read. */
@@ -54,9 +52,6 @@
     private boolean hasReceivedRequest;
     /** Whether input has arrived since the input was last read to its end. */
     private boolean inputArrived;
-    /** Whether a 100 (Continue) is being written; a response has to wait for that. */
-    private boolean writingContinue;
-    private Runnable afterContinue;
     /** The number of bytes discarded after the last response. */
     private int discardedBytes;
     private final ProxyHandshake proxyHandshake;
@@ -70,10 +65,11 @@
         this.selectorThread = selectorThread;
         this.id = id;
         this.waitingSinceNs = waitingSinceNs;
+        responses = new ResponseWriter(endPoint, loop.heldMemory(), () -> closeConnection(CloseReason.BROKEN));
         IntPredicate reserveBytes = bytes -> loop.heldMemory().reserve(HeldMemory.Use.REQUEST, bytes);
         input = new ReadAheadBuffer(reserveBytes);
         turn = new ReadTurn(selectorThread, ReadTurn.MAX_BYTES);
-        reader = new RequestReader(reserveBytes, this::writeContinue);
+        reader = new RequestReader(reserveBytes, responses::writeContinue);
         proxyHandshake = new ProxyHandshake(loop.clientSettings(), endPoint.getRemoteSocketAddress());
     }
 
@@ -234,6 +230,7 @@
     /** Closes the connection, whichever side ended it. */
     private void closeConnection(CloseReason reason) {
         reader.release();
+        responses.release();
         input.clear();
         input.shrink();
         turn.end(false);
@@ -285,34 +282,11 @@
         readInput();
     }
 
-    /** Writes a 100 (Continue), which the client awaits before it sends the body. */
-    private void writeContinue() {
-        writingContinue = true;
-        getEndPoint().write(whenWritten(this::continueWritten, () -> closeConnection(CloseReason.BROKEN)), CONTINUE.duplicate());
-    }
-
-    private void continueWritten() {
-        writingContinue = false;
-        Runnable response = afterContinue;
-        afterContinue = null;
-        if (response != null) {
-            response.run();
-        }
-    }
-
     /** Writes a response; after that the connection reads the next request, or is closed if {@code last}. */
     void answer(ByteBuffer[] message, boolean last) {
         boolean close = last || reader.wantsClose();
         state = State.WRITING;
-        if (writingContinue) {
-            afterContinue = () -> write(message, close);
-        } else {
-            write(message, close);
-        }
-    }
-
-    private void write(ByteBuffer[] message, boolean close) {
-        getEndPoint().write(whenWritten(() -> written(close), () -> closeConnection(CloseReason.BROKEN)), message);
+        responses.write(message, () -> written(close));
     }
 
     private void written(boolean close) {
--- a/src/test/java/granitefold/real/PlantedIT.java
+++ b/src/test/java/granitefold/real/PlantedIT.java
@@ -51,8 +51,7 @@
             new Patch("core/Lifecycle.java", "return requests.owed() == 0 && (core.clients.size() == 0 && listenerClosed || core.now >= core.closingEndsAt);", "return true;"),
             new Patch("core/ActionGuard.java", "return owed == 0 || violated(Rule.STOPPED_OWING, owed + \" requests\");", "return true;")},
         {"some requests are answered twice", Rule.ANSWERED_TWICE, LIGHT_LOAD,
-            new Patch("net/ClientConnection.java", "() -> closeConnection(CloseReason.BROKEN)), message);", "() -> closeConnection(CloseReason.BROKEN)), message[0], message[1], message[0].duplicate(),\n"
-                    + "                message[1].duplicate());")},
+            new Patch("net/ResponseWriter.java", "        }, failed), message);", "        }, failed), message[0], message[1], message[0].duplicate(), message[1].duplicate());")},
         {"draining workers still get jobs", Rule.DRAIN, "for = 6s, dispatchers.count = 1, cocineros { count = 3, slots = 4 }, load.rate = 60\n"
                 + "steps = [ { do = drain, to = [s0], at = 500ms } ]",
             new Patch("core/WorkerRegistry.java", "worker.state = entry.state();", "worker.state = State.READY;"),
