Stalled large requests are rejected first where memory is low; sound ones keep room

Cause: the memory for requests was given to whoever came first, until the time-out of 2.8 s. Change: where three quarters of it are held, the reducer rejects (503) the incomplete requests that memory is reserved for and whose clients have been silent for longest, at least 0.05 s, eight at a time, and looks again. Who is still sending, or holds nothing that is counted, is left alone. CloseReason NO_MEMORY, counted in vars.

--- a/src/main/java/granitefold/core/ClientConnections.java
+++ b/src/main/java/granitefold/core/ClientConnections.java
@@ -27,6 +27,11 @@
     /** Slow writers rarely pause longer than this within a request; a connection that does may be closed to make room. */
     static final long STALLED_REQUEST_US = 1_000_000;
 
+    /** A client that is silent for this long within a request may be rejected to free its memory. */
+    static final long STALLED_LARGE_REQUEST_US = 50_000;
+    /** The most requests that are rejected at once to free memory. */
+    private static final int MAX_REJECTED_AT_ONCE = 8;
+
     private enum State {
         /** Connected; nothing has been received yet. */
         CONNECTED,
@@ -47,6 +52,8 @@
         final long client;
         State state;
         boolean sentJob;
+        /** The memory that is reserved for the request that it is sending. */
+        int heldBytes;
         long since;
         Timers.Timer timer;
 
@@ -59,6 +66,8 @@
     /** The entries by state, the longest in that state first. */
     private final Map<State, LinkedHashMap<Long, Entry>> byState = new EnumMap<>(State.class);
     private final int maxConnections;
+    /** Set while memory is low and incomplete requests hold some of it. */
+    private Timers.Timer memoryCheck;
     private final Timers timers;
     private final List<Effect> effects;
 
@@ -86,17 +95,22 @@
     }
 
     /** The first bytes of another request have arrived. */
-    void requestStarted(long client, long now) {
-        move(entries.get(client), State.RECEIVING, now);
+    void requestStarted(long client, int heldBytes, long now) {
+        Entry entry = entries.get(client);
+        move(entry, State.RECEIVING, now);
+        if (entry != null) {
+            entry.heldBytes = heldBytes;
+        }
     }
 
     /** More of a request has arrived, but not its end: its timeout runs on, but its time of silence starts again. */
-    void received(long client, long now) {
+    void received(long client, int heldBytes, long now) {
         Entry entry = entries.get(client);
         if (entry != null && (entry.state == State.CONNECTED || entry.state == State.RECEIVING)) {
             byState.get(entry.state).remove(client);
             entry.state = State.RECEIVING;
             entry.since = now;
+            entry.heldBytes = heldBytes;
             byState.get(State.RECEIVING).put(client, entry);
         }
     }
@@ -189,6 +203,27 @@
         }
     }
 
+    /**
+     * Rejects the incomplete requests that memory is reserved for and whose clients have been silent for longest, some at a time, and
+     * has the memory checked again once that is done or the next of them has been silent for long enough.
+     */
+    void freeMemory(long now) {
+        List<Entry> large = byState.get(State.RECEIVING).values().stream().filter(entry -> entry.heldBytes > 0)
+                .limit(MAX_REJECTED_AT_ONCE + 1).toList();
+        timers.cancel(memoryCheck);
+        memoryCheck = null;
+        int rejected = 0;
+        for (Entry entry : large) {
+            if (rejected < MAX_REJECTED_AT_ONCE && now - entry.since >= STALLED_LARGE_REQUEST_US) {
+                close(entry, CloseReason.NO_MEMORY, now);
+                rejected++;
+            } else {
+                memoryCheck = timers.at(Math.max(now, entry.since + STALLED_LARGE_REQUEST_US), t -> effects.add(new Effect.CheckMemory()));
+                break;
+            }
+        }
+    }
+
     private Entry first(State state) {
         Iterator<Entry> iterator = byState.get(state).values().iterator();
         return iterator.hasNext() ? iterator.next() : null;
--- a/src/main/java/granitefold/core/CloseReason.java
+++ b/src/main/java/granitefold/core/CloseReason.java
@@ -15,5 +15,7 @@
     /** The client did not send a request, or read its answer, in time. */
     TIMED_OUT,
     /** It was closed to make room for a new connection. */
-    NO_ROOM
+    NO_ROOM,
+    /** It was silent within a request whose memory others needed. */
+    NO_MEMORY
 }
--- a/src/main/java/granitefold/core/Effect.java
+++ b/src/main/java/granitefold/core/Effect.java
@@ -16,6 +16,9 @@
     /** Close a client connection, unless a whole request turns out to have arrived on it. */
     record CloseClient(long client, CloseReason reason) implements Effect { }
 
+    /** Report {@link Event.MemoryLow} if the memory for requests is nearly used up. */
+    record CheckMemory() implements Effect { }
+
     /** Open a connection to a worker, under a number chosen by the core. */
     record ConnectWorker(long connection, String address) implements Effect { }
 
--- a/src/main/java/granitefold/core/Event.java
+++ b/src/main/java/granitefold/core/Event.java
@@ -13,11 +13,24 @@
     /** A client has connected. */
     record ClientConnected(long client) implements Event { }
 
-    /** The first bytes of another request have arrived on a kept client connection. */
-    record RequestStarted(long client) implements Event { }
+    /** The first bytes of another request have arrived on a kept client connection; {@code heldBytes} are reserved for them. */
+    record RequestStarted(long client, int heldBytes) implements Event {
+        /** Nothing is reserved for it. */
+        public RequestStarted(long client) {
+            this(client, 0);
+        }
+    }
+
+    /** More of a request has arrived on a client connection, but not its end; {@code heldBytes} are reserved for all of it. */
+    record RequestContinued(long client, int heldBytes) implements Event {
+        /** Nothing is reserved for it. */
+        public RequestContinued(long client) {
+            this(client, 0);
+        }
+    }
 
-    /** More of a request has arrived on a client connection, but not its end. */
-    record RequestContinued(long client) implements Event { }
+    /** The memory for requests is nearly used up. */
+    record MemoryLow() implements Event { }
 
     /** A whole request has arrived on a client connection. It waited unread for {@code unreadUs}, which counts against its client's deadline. */
     record RequestArrived(long client, Submission submission, long unreadUs) implements Event {
--- a/src/main/java/granitefold/core/Reducer.java
+++ b/src/main/java/granitefold/core/Reducer.java
@@ -164,9 +164,11 @@
             core.trace.clientOpened(e.client());
             core.clients.opened(e.client(), core.now);
         } else if (event instanceof Event.RequestStarted e) {
-            core.clients.requestStarted(e.client(), core.now);
+            core.clients.requestStarted(e.client(), e.heldBytes(), core.now);
         } else if (event instanceof Event.RequestContinued e) {
-            core.clients.received(e.client(), core.now);
+            core.clients.received(e.client(), e.heldBytes(), core.now);
+        } else if (event instanceof Event.MemoryLow) {
+            core.clients.freeMemory(core.now);
         } else if (event instanceof Event.RequestArrived e) {
             core.clients.arrived(e.client(), core.now);
             if (listKnown) {
--- a/src/main/java/granitefold/net/ClientConnection.java
+++ b/src/main/java/granitefold/net/ClientConnection.java
@@ -66,7 +66,7 @@
         this.id = id;
         this.waitingSinceNs = waitingSinceNs;
         responses = new ResponseWriter(endPoint, loop.heldMemory(), () -> closeConnection(CloseReason.BROKEN));
-        IntPredicate reserveBytes = bytes -> loop.heldMemory().reserve(HeldMemory.Use.REQUEST, bytes);
+        IntPredicate reserveBytes = bytes -> loop.inbound().reserve(bytes);
         input = new ReadAheadBuffer(reserveBytes);
         turn = new ReadTurn(selectorThread, ReadTurn.MAX_BYTES);
         reader = new RequestReader(reserveBytes, responses::writeContinue);
@@ -205,7 +205,8 @@
     /** Reports that part of a request has arrived since the last report. */
     private void reportPartialRequest() {
         if (state == State.READING && inputArrived && !reader.isAtStart()) {
-            loop.post(requestStarted ? new Event.RequestContinued(id) : new Event.RequestStarted(id));
+            int heldBytes = reader.reservedBytes();
+            loop.post(requestStarted ? new Event.RequestContinued(id, heldBytes) : new Event.RequestStarted(id, heldBytes));
             requestStarted = true;
         }
         inputArrived = false;
--- a/src/main/java/granitefold/net/HeldMemory.java
+++ b/src/main/java/granitefold/net/HeldMemory.java
@@ -27,6 +27,8 @@
     private static final long REQUEST_HEAP_DIVISOR = 5;
     /** Lines of workers, and lists, may take one part in this many even where the other uses take more than their share. */
     private static final long GUARANTEED_HEAP_DIVISOR = 8;
+    /** The share of the memory for requests that is kept free for those to come. */
+    private static final double FREE_SHARE = 0.25;
 
     private final long maxBytesForRequests;
     private final long maxBytes;
@@ -67,6 +69,11 @@
         };
     }
 
+    /** Returns whether the memory for requests is nearly used up. */
+    boolean isLow() {
+        return heldBytes.get(Use.REQUEST) > (1 - FREE_SHARE) * maxBytesForRequests || totalBytes > maxBytes - FREE_SHARE * maxBytesForRequests;
+    }
+
     /** Counts memory that is held in any case, or no longer held if {@code bytes} is negative. */
     void hold(Use use, int bytes) {
         long held = heldBytes.merge(use, (long) bytes, Long::sum);
--- a/src/main/java/granitefold/net/InboundConnections.java
+++ b/src/main/java/granitefold/net/InboundConnections.java
@@ -19,6 +19,8 @@
     private final SelectorThread selectorThread;
     private final Map<Long, ClientConnection> clients = new HashMap<>();
     private long lastClientId;
+    /** Whether a report that memory is low is due. */
+    private boolean reportingMemory;
 
     InboundConnections(EventLoop loop, SelectorThread selectorThread) {
         this.loop = loop;
@@ -53,6 +55,28 @@
         });
     }
 
+    /** Reserves memory for a request, or releases it if {@code bytes} is negative; returns false if the limit is reached. */
+    boolean reserve(int bytes) {
+        boolean reserved = loop.heldMemory().reserve(HeldMemory.Use.REQUEST, bytes);
+        if (bytes > 0) {
+            checkMemory();
+        }
+        return reserved;
+    }
+
+    /** Reports if memory is low; not at once, since a connection is being read. */
+    private void checkMemory() {
+        if (!reportingMemory && loop.heldMemory().isLow()) {
+            reportingMemory = true;
+            selectorThread.submit(() -> {
+                reportingMemory = false;
+                if (loop.heldMemory().isLow()) {
+                    loop.post(new Event.MemoryLow());
+                }
+            });
+        }
+    }
+
     /** Forgets a connection that has closed, and reports it to the reducer. */
     void closed(ClientConnection client, CloseReason reason) {
         if (clients.remove(client.id()) != null) {
@@ -87,6 +111,8 @@
             if (client != null) {
                 client.closeUnlessBusy(e.reason());
             }
+        } else if (effect instanceof Effect.CheckMemory) {
+            checkMemory();
         } else if (effect instanceof Effect.HalfCloseIdleClients || effect instanceof Effect.HalfCloseAllClients) {
             for (ClientConnection client : clients.values().toArray(ClientConnection[]::new)) {
                 client.halfCloseUnlessBusy(effect instanceof Effect.HalfCloseAllClients);
--- a/src/main/java/granitefold/net/RequestMemory.java
+++ b/src/main/java/granitefold/net/RequestMemory.java
@@ -27,6 +27,11 @@
         return true;
     }
 
+    /** Returns what is reserved, in bytes. */
+    int reservedBytes() {
+        return reservedBytes;
+    }
+
     /** Releases all of it. */
     void release() {
         add(-usedBytes);
--- a/src/main/java/granitefold/net/RequestReader.java
+++ b/src/main/java/granitefold/net/RequestReader.java
@@ -117,6 +117,11 @@
         headMemoryBytes = 0;
     }
 
+    /** Returns the bytes that are reserved for the current request. */
+    int reservedBytes() {
+        return memory.reservedBytes();
+    }
+
     /** Returns whether the client wants the connection closed after the response. */
     boolean wantsClose() {
         return wantsClose;
--- a/src/test/java/granitefold/core/ReducerTest.java
+++ b/src/test/java/granitefold/core/ReducerTest.java
@@ -76,6 +76,24 @@
         assertTrue(reducer.timerCount() < timers, "the connection's own timer is gone too");
     }
 
+    /** Guards against rejecting those who are still sending, or who hold nothing, to free memory; the longest silent comes first. */
+    @Test
+    void whenMemoryIsLowStalledLargeRequestsAreRejected() {
+        play(new Event.SocketsOpened(list(State.READY, true), "127.0.0.1:2"));
+        play(new Event.WatchUpdated(null));
+        for (long client = 10; client < 13; client++) {
+            open(client);
+            play(new Event.RequestContinued(client, client == 11 ? 0 : 40_000));
+        }
+        now += ClientConnections.STALLED_LARGE_REQUEST_US;
+        play(new Event.RequestContinued(10, 50_000));
+        play(new Event.MemoryLow());
+        assertEquals(List.of(new Effect.CloseClient(12, CloseReason.NO_MEMORY)), all(Effect.CloseClient.class));
+        now += ClientConnections.STALLED_LARGE_REQUEST_US;
+        play(new Event.Woken());
+        assertEquals(1, all(Effect.CheckMemory.class).size());
+    }
+
     /** Retry storms cancel hundreds of requests; none may keep a timer until its deadline. */
     @Test
     void aFinishedRequestLeavesNoTimers() {
--- a/src/test/java/granitefold/real/MemoryLimitIT.java
+++ b/src/test/java/granitefold/real/MemoryLimitIT.java
@@ -25,6 +25,7 @@
     private static final String USUAL_FIELDS = "User-Agent: browser\r\nAccept: text/html\r\nAccept-Encoding: gzip\r\nContent-Type: text/plain\r\n";
     /** Clients may use half of the descriptors that the process does not need itself; these are left for sound ones. */
     private static final int DESCRIPTORS_OF_OTHERS = 40;
+    private static final int LARGE_REQUESTS = 20, LARGE_BODY_BYTES = 60_000;
     /** How long the crowd stays, in which a sound client sends a request at each interval. */
     private static final long CROWD_MS = 2_500, SOUND_INTERVAL_MS = 50;
     /** The time of a sound client, and how late an answer may be before the request counts as lost. */
@@ -41,6 +42,15 @@
             this.memoryMb = memoryMb;
             this.sockets = sockets;
         }
+
+        Map<String, String> configuration() {
+            return Map.of("limits", "{\"cores\":1.0,\"memory_mb\":" + memoryMb + ",\"sockets\":" + sockets + "}");
+        }
+
+        /** The most clients of a crowd that leave room for others. */
+        int crowdSize() {
+            return sockets / 2 - DESCRIPTORS_OF_OTHERS;
+        }
     }
 
     /** What each client of a crowd sends before it falls silent. */
@@ -97,14 +107,13 @@
     /** Guards against memory that clients decide and nobody counts: heads, parser buffers and unread answers ended the process. */
     @Test(dataProvider = "crowds")
     public void crowdNeitherEndsTheProcessNorTakesAnswersFromOthers(Crowd crowd, Limits limits) throws Exception {
-        try (Worker worker = new Worker("s-a");
-                RealProgram program = new RealProgram(Map.of("limits", "{\"cores\":1.0,\"memory_mb\":" + limits.memoryMb + ",\"sockets\":" + limits.sockets + "}"), worker)) {
+        try (Worker worker = new Worker("s-a"); RealProgram program = new RealProgram(limits.configuration(), worker)) {
             worker.serve("done");
             program.awaitServing();
             List<Thread> soundClients = new ArrayList<>();
             List<String> unanswered = new ArrayList<>();
             List<Exchange> crowdClients = new ArrayList<>();
-            Thread crowdThread = startThread(() -> crowdClients.addAll(crowd.join(program, limits.sockets / 2 - DESCRIPTORS_OF_OTHERS)));
+            Thread crowdThread = startThread(() -> crowdClients.addAll(crowd.join(program, limits.crowdSize())));
             for (long passedMs = 0; passedMs < CROWD_MS; passedMs += SOUND_INTERVAL_MS) {
                 String txn = "sound-" + passedMs;
                 soundClients.add(startThread(() -> {
@@ -131,6 +140,22 @@
         }
     }
 
+    /** Guards against a crowd that stops half way and takes all the memory for requests: sound clients were rejected. */
+    @Test
+    public void largeRequestsAreServedBesideACrowdThatStopsHalfWay() throws Exception {
+        Limits limits = Limits.HALF;
+        try (Worker worker = new Worker("s-a"); RealProgram program = new RealProgram(limits.configuration(), worker)) {
+            worker.serve("done");
+            program.awaitServing();
+            Crowd.HALF_A_BODY.join(program, limits.crowdSize());
+            for (int i = 0; i < LARGE_REQUESTS; i++) {
+                Exchange client = program.client().write(RealProgram.request("/ficha", "large-" + i, RealTest.TIME, "x".repeat(LARGE_BODY_BYTES)));
+                assertEquals(client.readStatus(), 200, "request " + i);
+                client.close();
+            }
+        }
+    }
+
     private static Thread startThread(Runnable task) {
         Thread thread = new Thread(task);
         thread.setDaemon(true);
