Soak: crowds that stop half way, floods of requests, and each process's memory limit

The soak drew crowds of idle clients only, gave each dispatcher a heap of 96 MB whatever its configuration said, and looked at nobody's memory. Change: steps half-requests and flood (HostileClients): heads of short fields, half bodies, chunks of one byte, pipelined requests, and floods of rejected, costly or unsound requests under ever new names. The proving ground's dispatchers get the heap of deploy/serve.sh and end on OutOfMemoryError as in service; the soak's have 96 MB and 512 descriptors (160 where crowded). MemoryMonitor records a process that passes its limit, the new rule OVER_MEMORY.

--- a/src/main/java/granitefold/standin/ground/DispatcherConfig.java
+++ b/src/main/java/granitefold/standin/ground/DispatcherConfig.java
@@ -12,6 +12,9 @@
     private static final int TICK_MS = 5, ANSWER_GRACE_MS = 20, CONNECT_TIMEOUT_MS = 300, IDLE_TIMEOUT_MS = 15_000, RETRY_AFTER_MS = 2000,
             MAX_ATTEMPTS = 4;
 
+    /** As in deploy/serve.sh. */
+    private static final int MIN_HEAP_MB = 16, MAX_HEAP_MB = 88, OTHER_MEMORY_MB = 64;
+
     private DispatcherConfig() { }
 
     /** Returns the configuration without addresses; those are set by {@link TestBed} and {@link DispatcherUnderTest}. */
@@ -47,6 +50,11 @@
         return config;
     }
 
+    /** Returns the heap that deploy/serve.sh gives a process with this configuration, in MB. */
+    static int heapMb(ObjectNode config) {
+        return Math.max(MIN_HEAP_MB, Math.min(MAX_HEAP_MB, config.path("limits").path("memory_mb").asInt() - OTHER_MEMORY_MB));
+    }
+
     static ArrayNode addresses(List<String> all) {
         ArrayNode a = JSON.createArrayNode();
         all.forEach(a::add);
--- a/src/main/java/granitefold/standin/ground/DispatcherUnderTest.java
+++ b/src/main/java/granitefold/standin/ground/DispatcherUnderTest.java
@@ -163,8 +163,8 @@
         if (hasKeeper) {
             return launch(log, keeperCommand());
         }
-        List<String> line = new ArrayList<>(List.of("java", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx96m", "-Xss512k", "-Xshare:auto",
-                "-XX:-UsePerfData", "-Djava.net.preferIPv4Stack=true", "-jar", jar.toString(), "serve", "--config", configFile().toString()));
+        List<String> line = new ArrayList<>(List.of("java", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx" + DispatcherConfig.heapMb(config) + "m", "-Xss512k", "-Xshare:auto",
+                "-XX:-UsePerfData", "-XX:+ExitOnOutOfMemoryError", "-Djava.net.preferIPv4Stack=true", "-jar", jar.toString(), "serve", "--config", configFile().toString()));
         if (!secondAddress || incarnations.isEmpty()) {
             Path file = folder.resolve("operator.conf");
             Files.writeString(file, operatorSettings);
--- a/src/main/java/granitefold/standin/ground/ProcessFaults.java
+++ b/src/main/java/granitefold/standin/ground/ProcessFaults.java
@@ -11,7 +11,7 @@
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 
-/** Faults of a dispatcher process: failing system calls, pauses, graceful shutdowns with a final kill, and floods of idle connections. */
+/** Faults of a dispatcher process: failing system calls, pauses, graceful shutdowns with a final kill, and clients that harm others. */
 final class ProcessFaults {
     /** The longest pause of a process that the rules have to tolerate. */
     private static final long MAX_PAUSE_MS = 150;
@@ -46,6 +46,7 @@
 
     private final TestBed testBed;
     private final Map<DispatcherUnderTest, List<Socket>> idleConnections = new java.util.concurrent.ConcurrentHashMap<>();
+    private final HostileClients hostileClients = new HostileClients();
     private final Random random;
 
     ProcessFaults(TestBed testBed) {
@@ -54,7 +55,7 @@
     }
 
     static boolean handles(String action) {
-        return SYSTEM_CALL_FAULTS.containsKey(action) || List.of("hold", "release", "crash", "crowd", WRITES_HELD).contains(action);
+        return SYSTEM_CALL_FAULTS.containsKey(action) || List.of("hold", "release", "crash", "crowd", "half-requests", "flood", WRITES_HELD).contains(action);
     }
 
     /** Applies a fault; {@code amount}: the percentage of system calls, or the milliseconds of a pause. */
@@ -64,6 +65,8 @@
             case "release" -> restartGracefully(dispatcher);
             case "crash" -> crash(dispatcher, (long) amount);
             case "crowd" -> openIdleConnections(dispatcher);
+            case "half-requests" -> hostileClients.stopHalfWay(dispatcher, (int) amount, draw(Integer.MAX_VALUE));
+            case "flood" -> hostileClients.flood(dispatcher, draw(Integer.MAX_VALUE));
             case WRITES_HELD -> dispatcher.faults.enable(SystemCallFault.HELD_WRITE, (int) amount, (int) MAX_PAUSE_MS);
             default -> failSystemCalls(SYSTEM_CALL_FAULTS.get(action), dispatcher, (int) (amount > 0 ? amount : ALWAYS_PERCENT));
         }
@@ -72,6 +75,8 @@
     void stop(String action, DispatcherUnderTest dispatcher) throws IOException {
         if (action.equals("crowd")) {
             closeIdleConnections(dispatcher);
+        } else if (action.equals("half-requests") || action.equals("flood")) {
+            hostileClients.leave(dispatcher);
         } else if (action.equals(WRITES_HELD)) {
             dispatcher.faults.disable(SystemCallFault.HELD_WRITE);
         } else if (SYSTEM_CALL_FAULTS.containsKey(action)) {
--- a/src/main/java/granitefold/standin/ground/Scenario.java
+++ b/src/main/java/granitefold/standin/ground/Scenario.java
@@ -69,7 +69,7 @@
     static final List<String> ACTIONS = List.of("kill", "kill-keeper", "stop", "continue", "end", "start", "restart", "reload", "cut", "cut-there", "cut-back",
             "delay", "lose", "drip", "refuse", "reset", "heal", "slow", "hang", "stick", "fail", "truncate", "break", "well", "drain",
             "remove", "replace", "die", "discovery-down", "discovery-up", "hush", "rate", "tenant-rate", "state-lost", "state-cut", "state-aged",
-            "state-swapped", "state-kept", "state-back", "hold", "release", "crash", "crowd", "accept-fails", "socket-fails", "connect-fails",
+            "state-swapped", "state-kept", "state-back", "hold", "release", "crash", "crowd", "half-requests", "flood", "accept-fails", "socket-fails", "connect-fails",
             "waits-interrupted", "reads-short", "writes-short", "reads-broken", "storage-fails", "syncs-fail", "clock-stepped", "writes-held", "calls-interrupted");
 
     /** Reads and validates a file. */
--- a/src/main/java/granitefold/standin/ground/TestBed.java
+++ b/src/main/java/granitefold/standin/ground/TestBed.java
@@ -43,6 +43,7 @@
     final LoadBalancer loadBalancer;
     final LoadGenerator loadGenerator;
     private final ProcessorWaitMonitor processorWaits;
+    private final MemoryMonitor memory;
     final Path folder;
     /** Concurrent: workers are added while faults are set on other edges. */
     private final List<Edge> edges = new CopyOnWriteArrayList<>();
@@ -99,6 +100,7 @@
         }
         connectSiblings();
         processorWaits = new ProcessorWaitMonitor(fleet, history);
+        memory = new MemoryMonitor(fleet, history, scenario.dispatchers().memoryMb());
         loadBalancer = new LoadBalancer(fleet);
         loadGenerator = new LoadGenerator(scenario, loadBalancer, history, seed + 1);
     }
@@ -210,6 +212,7 @@
     /** Starts all dispatchers and waits until each is ready. */
     public void start() throws IOException, InterruptedException {
         processorWaits.start();
+        memory.start();
         for (DispatcherUnderTest dispatcher : fleet) {
             dispatcher.start();
         }
@@ -265,6 +268,7 @@
     @Override
     public void close() throws IOException {
         processorWaits.close();
+        memory.close();
         loadGenerator.stop();
         for (DispatcherUnderTest dispatcher : fleet) {
             dispatcher.close();
--- a/src/main/java/granitefold/standin/history/Entry.java
+++ b/src/main/java/granitefold/standin/history/Entry.java
@@ -61,7 +61,7 @@
         FELL,
         /**
          * A change of a process; text: started, ready, killed, gone (all processes of a killed dispatcher with a keeper have exited),
-         * stopped, continued, terminated or exited; or a finding that begins with crashed, not ready, reports or ended by the kill.
+         * stopped, continued, terminated or exited; or a finding that begins with crashed, exceeds, not ready, reports or ended by the kill.
          */
         PROCESS,
         /**
--- a/src/main/java/granitefold/standin/history/HistoryChecker.java
+++ b/src/main/java/granitefold/standin/history/HistoryChecker.java
@@ -83,6 +83,8 @@
                 checker.report(Rule.COLD, e, e.who() + " failed under overload in slow start", List.of(e));
             } else if (e.what() == What.PROCESS && e.text().startsWith("crashed")) {
                 checker.report(Rule.CRASHED, e, e.who() + " " + e.text(), List.of(e));
+            } else if (e.what() == What.PROCESS && e.text().startsWith("exceeds ")) {
+                checker.report(Rule.OVER_MEMORY, e, e.who() + " " + e.text(), List.of(e));
             } else if (e.what() == What.PROCESS && e.text().startsWith("reports ")) {
                 checker.report(Rule.SELF_REPORTED, e, e.who() + " " + e.text(), List.of(e));
             } else if (e.what() == What.EXTRA) {
--- a/src/main/java/granitefold/standin/history/Violation.java
+++ b/src/main/java/granitefold/standin/history/Violation.java
@@ -43,6 +43,8 @@
         SELF_REPORTED,
         /** A dispatcher process exited without being terminated or killed by the test bed. */
         CRASHED,
+        /** A dispatcher process was larger than its memory limit. */
+        OVER_MEMORY,
         /** More than one in ten restarted processes took over 10 s to become ready. */
         SLOW_START
     }
--- a/src/main/java/granitefold/standin/soak/SoakPlan.java
+++ b/src/main/java/granitefold/standin/soak/SoakPlan.java
@@ -10,7 +10,11 @@
     private static final int DISPATCHERS = 24, MIN_WORKERS = 10, WORKERS_SPREAD = 6;
     private static final long FIRST_STEP_MS = 800, KILL_GRACE_MS = 700, MAX_KILL_DEADLINE_MS = 3_000;
     private static final long[] DEADLINES_MS = {800, 1_500, 3_000, 5_000};
-    private static final int SOCKETS = 256, SOCKETS_CROWDED = 160;
+    private static final int SOCKETS = 512, SOCKETS_CROWDED = 160;
+    /** Half of the largest limit of the platform. */
+    private static final int MEMORY_MB = 96;
+    /** So many connections of hostile clients leave room for others. */
+    private static final int MAX_HOSTILE_CLIENTS = 180, MAX_HOSTILE_CLIENTS_CROWDED = 40;
     private static final String[] WORKER_FAULTS = {"slow", "hang", "stick", "fail", "truncate", "break"};
     private static final String[] EDGE_FAULTS = {"cut", "cut-there", "cut-back", "delay", "drip", "refuse"};
 
@@ -48,10 +52,11 @@
         edgeFaults();
         discoveryFaults();
         loadPeaks();
+        hostileClients();
         StringBuilder text = new StringBuilder("about = \"random, overlapping faults\"\n");
         text.append("for = ").append(lengthMs).append("ms\n");
         text.append("dispatchers { count = ").append(DISPATCHERS).append(", faults = true, front-notice = 500ms, sockets = ")
-                .append(crowded ? SOCKETS_CROWDED : SOCKETS).append(", state = ").append(state).append(", talk = ").append(random.nextInt(3) > 0)
+                .append(crowded ? SOCKETS_CROWDED : SOCKETS).append(", memory-mb = ").append(MEMORY_MB).append(", state = ").append(state).append(", talk = ").append(random.nextInt(3) > 0)
                 .append(" }\n");
         text.append("cocineros { count = ").append(workers).append(", slots = ").append(4 + random.nextInt(4)).append(", spread = 0.3 }\n");
         text.append("load { rate = ").append(120 + random.nextInt(120)).append(", retries = 2, impatient = ")
@@ -194,6 +199,17 @@
         }
     }
 
+    /** Crowds that stop half way through large requests, and clients that send requests without a pause. */
+    private void hostileClients() {
+        for (int i = 2 + random.nextInt(5); i > 0; i--) {
+            int most = crowded ? MAX_HOSTILE_CLIENTS_CROWDED : MAX_HOSTILE_CLIENTS;
+            lastingStep("half-requests", dispatcher(), most / 2 + random.nextInt(most / 2), 500, 2500);
+        }
+        for (int i = random.nextInt(3); i > 0; i--) {
+            lastingStep("flood", dispatcher(), 0, 300, 1500);
+        }
+    }
+
     private void loadPeaks() {
         if (random.nextBoolean()) {
             steps.add("do = rate, at = " + timeMs(lengthMs) + "ms, lasts = " + (300 + random.nextInt(1200)) + "ms, amount = "
--- a/src/test/java/granitefold/standin/history/HistoryCheckerTest.java
+++ b/src/test/java/granitefold/standin/history/HistoryCheckerTest.java
@@ -29,6 +29,12 @@
         assertEquals(List.of(Rule.OVERSTATED), rules());
     }
 
+    @Test
+    void reportsAProcessThatIsLargerThanItsLimit() {
+        process(0, "exceeds its memory limit of 96 MB: 97 MB");
+        assertEquals(List.of(Rule.OVER_MEMORY), rules());
+    }
+
     /** A busy relay reads an attempt late; the dispatcher may have sent it long before. */
     @Test
     void allowsForAnAttemptThatTheRelayReadLate() {
