A finished request no longer holds its payload

Seen by reading, for the account of held memory: where a site forbids cancelling, an attempt goes on after its client has gone, and its request's context kept the body of up to 64 KiB until the attempt ended, while the account had released it with the connection. Change: RequestContext.finish drops the payload; nothing is sent after it (ActionGuard.maySend). The patched lines of PlantedIT, InternalErrorIT and PatchedJar follow the renamed accessors; the planted defects are the same. That the fault ended a process was not shown.

--- a/src/main/java/granitefold/core/ActionGuard.java
+++ b/src/main/java/granitefold/core/ActionGuard.java
@@ -58,20 +58,20 @@
         if (request.attempts.stream().anyMatch(other -> other != attempt && other.outcome == null) && !secondCopies) {
             return violated(Rule.TWO_ATTEMPTS_OUT, request);
         }
-        if (classes.get(request.submission.jobClass()).effect() == Effect.UNSAFE
+        if (classes.get(request.submission().jobClass()).effect() == Effect.UNSAFE
                 && request.attempts.stream().anyMatch(other -> other != attempt && (other.outcome == null || !other.outcome.neverRan()))) {
             return violated(Rule.UNSAFE_REPEAT, request);
         }
-        if (core.requestIds.mayHaveRun(request.submission.name(), core.now)) {
+        if (core.requestIds.mayHaveRun(request.submission().name(), core.now)) {
             return violated(Rule.ID_SENT_TWICE, request);
         }
         // while the connection was opened, the client may have left, the worker been drained, or a time limit passed
-        return !request.finished && attempt.worker.state == State.READY && core.now < attempt.startsBy && core.now < attempt.expiresAt;
+        return !request.finished() && attempt.worker.state == State.READY && core.now < attempt.startsBy && core.now < attempt.expiresAt;
     }
 
     /** Whether a request may be given a final answer. */
     boolean mayAnswer(RequestContext request) {
-        return !request.finished || violated(Rule.ANSWERED_TWICE, request);
+        return !request.finished() || violated(Rule.ANSWERED_TWICE, request);
     }
 
     /** Whether the process may stop with this number of requests that are owed an answer. */
@@ -80,7 +80,7 @@
     }
 
     private boolean violated(Rule rule, RequestContext request) {
-        return violated(rule, request.submission.name());
+        return violated(rule, request.submission().name());
     }
 
     private boolean violated(Rule rule, String what) {
--- a/src/main/java/granitefold/core/Attempts.java
+++ b/src/main/java/granitefold/core/Attempts.java
@@ -52,10 +52,10 @@
         });
         attempt.connection.state = WorkerConnection.State.SENDING;
         if (core.statePersistence != null) {
-            core.statePersistence.sent(attempt.context.submission, core.now);
+            core.statePersistence.sent(attempt.context.submission(), core.now);
         }
         core.trace.sent(attempt, attempt.expiresAt - core.now);
-        core.effects.add(new Effect.SendRequest(attempt.connection.id, attempt.context.client, attempt.context.submission.payload(),
+        core.effects.add(new Effect.SendRequest(attempt.connection.id, attempt.context.client, attempt.context.submission().payload(),
                 attempt.expiresAt));
     }
 
@@ -104,7 +104,7 @@
             connection.currentAttempt = null;
             core.pool.awaitAnswerEnd(connection, core.now + ANSWER_END_TIMEOUT_US);
             if (update instanceof AttemptUpdate.Served served) {
-                if (!attempt.context.finished) {
+                if (!attempt.context.finished()) {
                     requests.answer(attempt.context, new FinalAnswer.Served(served.result()));
                 }
                 end(attempt, Outcome.SERVED);
@@ -155,7 +155,7 @@
         attempt.outcome = outcome;
         core.trace.ended(attempt, outcome);
         core.availabilityMonitor.attemptEnded(outcome);
-        core.module.ended(core.now, attempt.context.id, attempt.number, attempt.context.finished, outcome, null);
+        core.module.ended(core.now, attempt.context.id, attempt.number, attempt.context.finished(), outcome, null);
         if (core.health != null) {
             registry.healthChanged(core.health.attemptEnded(attempt.worker.id, outcome, core.now));
         }
--- a/src/main/java/granitefold/core/ModuleActions.java
+++ b/src/main/java/granitefold/core/ModuleActions.java
@@ -47,7 +47,7 @@
 
     private void finish(long request, FinalAnswer answer) {
         RequestContext context = requests.get(request);
-        if (context != null && !context.finished) {
+        if (context != null && !context.finished()) {
             requests.answer(context, answer);
             requests.forget(context);
         }
--- a/src/main/java/granitefold/core/RequestTrace.java
+++ b/src/main/java/granitefold/core/RequestTrace.java
@@ -32,7 +32,7 @@
 
     void accepted(RequestContext request, long now) {
         if (enabled) {
-            log(LogEvent.REQUEST_TAKEN, request.submission.name(), request.id, request.client, request.submission.jobClass(), request.deadline - now);
+            log(LogEvent.REQUEST_TAKEN, request.submission().name(), request.id, request.client, request.submission().jobClass(), request.deadline - now);
         }
     }
 
@@ -50,26 +50,26 @@
 
     void abandoned(RequestContext request) {
         if (enabled) {
-            log(LogEvent.REQUEST_ABANDONED, request.submission.name());
+            log(LogEvent.REQUEST_ABANDONED, request.submission().name());
         }
     }
 
     void begun(Attempt attempt) {
         if (enabled) {
-            log(LogEvent.ATTEMPT_BEGUN, attempt.context.submission.name(), attempt.number, attempt.worker.name,
+            log(LogEvent.ATTEMPT_BEGUN, attempt.context.submission().name(), attempt.number, attempt.worker.name,
                     attempt.connection == null ? "none" : attempt.connection.id);
         }
     }
 
     void sent(Attempt attempt, long waitUs) {
         if (enabled) {
-            log(LogEvent.ATTEMPT_SENT, attempt.context.submission.name(), attempt.number, waitUs);
+            log(LogEvent.ATTEMPT_SENT, attempt.context.submission().name(), attempt.number, waitUs);
         }
     }
 
     void ended(Attempt attempt, Outcome outcome) {
         if (enabled) {
-            log(LogEvent.ATTEMPT_ENDED, attempt.context.submission.name(), attempt.number, outcome);
+            log(LogEvent.ATTEMPT_ENDED, attempt.context.submission().name(), attempt.number, outcome);
         }
     }
 
--- a/src/main/java/granitefold/core/Requests.java
+++ b/src/main/java/granitefold/core/Requests.java
@@ -85,11 +85,11 @@
             return;
         }
         finish(context);
-        reply(context.client, context.submission, answer);
+        reply(context.client, context.submission(), answer);
     }
 
     private void finish(RequestContext context) {
-        context.finished = true;
+        context.finish();
         core.timers.cancel(context.timer);
         owed.remove(context.client);
     }
@@ -117,9 +117,9 @@
     }
 
     void forget(RequestContext context) {
-        if (context.finished && context.attempts.stream().allMatch(attempt -> attempt.outcome != null)) {
+        if (context.finished() && context.attempts.stream().allMatch(attempt -> attempt.outcome != null)) {
             if (contexts.remove(context.id) != null) {
-                core.requestIds.ended(context.submission.name(), !context.neverRan(), core.now);
+                core.requestIds.ended(context.submission().name(), !context.neverRan(), core.now);
             }
         }
     }
--- a/src/main/java/granitefold/core/Submission.java
+++ b/src/main/java/granitefold/core/Submission.java
@@ -16,4 +16,9 @@
             Payload payload) {
         this(name, jobClass, tenant, remainingUs, workUs, slots, memory, key, payload, null);
     }
+
+    /** Returns the same submission without what would be sent to a worker. */
+    Submission withoutPayload() {
+        return new Submission(name, jobClass, tenant, remainingUs, workUs, slots, memory, key, null, repeatKey);
+    }
 }
--- a/src/main/java/granitefold/standin/ground/PatchedJar.java
+++ b/src/main/java/granitefold/standin/ground/PatchedJar.java
@@ -19,7 +19,7 @@
     private static final Path SOURCES = Path.of("src/main/java/granitefold");
     private static final String TAKEN_IN = "        if (owed.size() >= core.bounds.requests()) {";
 
-    private static final String ANSWERED = "        finish(context);\n        reply(context.client, context.submission, answer);";
+    private static final String ANSWERED = "        finish(context);\n        reply(context.client, context.submission(), answer);";
 
     /** Replaces {@code from}, which must be present, with {@code to} in a source file; the path is relative to the root package's folder. */
     public record Patch(String file, String from, String to) { }
@@ -76,8 +76,8 @@
 
     /** Delays each answer by {@code ms}. */
     public static Patch delayAnswers(long ms) {
-        return new Patch("core/Requests.java", ANSWERED, "        core.timers.at(core.now + " + ms * 1000 + "L, t -> {\n            if (!context.finished) {\n                finish(context);\n"
-                        + "                reply(context.client, context.submission, answer);\n            }\n        });");
+        return new Patch("core/Requests.java", ANSWERED, "        core.timers.at(core.now + " + ms * 1000 + "L, t -> {\n            if (!context.finished()) {\n                finish(context);\n"
+                        + "                reply(context.client, context.submission(), answer);\n            }\n        });");
     }
 
     /** Accepts requests and never answers them, while health checks still succeed. */
--- a/src/test/java/granitefold/real/InternalErrorIT.java
+++ b/src/test/java/granitefold/real/InternalErrorIT.java
@@ -22,7 +22,7 @@
         Path folder = Files.createTempDirectory("errors");
         try {
             Path jar = PatchedJar.build(Path.of("target/granitefold.jar"), folder, "error", new Patch("core/Requests.java",
-                    "        reply(context.client, context.submission, answer);", "        reply(context.client, context.submission, answer);\n"
+                    "        reply(context.client, context.submission(), answer);", "        reply(context.client, context.submission(), answer);\n"
                             + "        if (context.id % 5 == 0) {\n            throw new IllegalStateException(\"planted\");\n        }"));
             TestRun run = TestRun.run(Scenario.read("error", "for = 3s, dispatchers.count = 1, cocineros { count = 3, slots = 4 }\n"
                     + "load { rate = 60, retries = 0 }"), 7, jar, r -> { });
--- a/src/test/java/granitefold/real/PlantedIT.java
+++ b/src/test/java/granitefold/real/PlantedIT.java
@@ -39,9 +39,9 @@
         {"a truncated answer is served", Rule.MADE_UP, LIGHT_LOAD + "steps = [ { do = truncate, to = [s0], at = 500ms } ]",
             new Patch("core/Attempts.java", "            end(connection.currentAttempt, connection.state == WorkerConnection.State.WAITING ? Outcome.BROKEN\n"
                     + "                    : connection.stale ? Outcome.MOOT : Outcome.UNREACHABLE);",
-                    "            if (!connection.currentAttempt.context.finished) {\n                requests.answer(connection.currentAttempt.context, new FinalAnswer.Served(new byte[0]));\n            }\n"
+                    "            if (!connection.currentAttempt.context.finished()) {\n                requests.answer(connection.currentAttempt.context, new FinalAnswer.Served(new byte[0]));\n            }\n"
                             + "            end(connection.currentAttempt, Outcome.SERVED);"),
-            new Patch("core/Attempts.java", "            end(attempt, Outcome.BROKEN);", "            if (!attempt.context.finished) {\n"
+            new Patch("core/Attempts.java", "            end(attempt, Outcome.BROKEN);", "            if (!attempt.context.finished()) {\n"
                     + "                requests.answer(attempt.context, new FinalAnswer.Served(new byte[0]));\n            }\n            end(attempt, Outcome.SERVED);")},
         {"one request in twenty is forgotten", Rule.LOST, LIGHT_LOAD,
             new Patch("core/Requests.java", "        finish(context);\n        reply(context.client", "        finish(context);\n        if (context.id % 20 == 0) {\n            return;\n"
