No more than 12,800 workers are known at once

Seen in a probe of what discovery decides: lists that bring ever new workers ended the process at 96 MB between 25,000 and 30,000 workers (OutOfMemoryError); 12,000 held (85 MB). Cause: the known workers grow by each new name, at about 1 KiB each with what the module keeps of them. Change: WorkerRegistry leaves out new workers beyond 12,800 and says so (discovery.left.out). Measured on arm64: MemoryLimitIT.everNewWorkersDoNotEndTheProcess failed before and passes, 16 of 16 in the class.

--- a/src/main/java/granitefold/core/WorkerRegistry.java
+++ b/src/main/java/granitefold/core/WorkerRegistry.java
@@ -12,6 +12,9 @@
 
 /** Applies worker lists of discovery and health changes to the known workers, and passes both on to the decision module. */
 final class WorkerRegistry {
+    /** The most workers that are known at once, each of which takes about 1 KiB; new ones beyond it are left out. */
+    static final int MAX_WORKERS = 12_800;
+
     private final CoreContext core;
 
     WorkerRegistry(CoreContext coreContext) {
@@ -30,7 +33,16 @@
             });
         }
         core.workers.values().forEach(worker -> worker.drainedByOlderList = false);
+        // a whole list replaces the workers known before
+        int known = update == ListUpdate.CHANGES ? core.workers.size() : 0;
+        int leftOut = 0;
         for (WorkerList.Entry entry : list.entries()) {
+            boolean isNew = update != ListUpdate.CHANGES || !core.workers.containsKey(Worker.id(entry.name()));
+            if (isNew && known >= MAX_WORKERS) {
+                leftOut++;
+                continue;
+            }
+            known += isNew ? 1 : 0;
             Worker worker = core.workers.computeIfAbsent(Worker.id(entry.name()), id -> new Worker(entry.name()));
             if (!entry.address().equals(worker.address)) {
                 core.pool.closeIdle(worker);
@@ -41,6 +53,9 @@
                     entry.cell(), entry.kind());
             workers.add(core.health == null ? worker.listed : core.health.withOverlay(worker.listed));
         }
+        if (leftOut > 0) {
+            core.effects.add(new Effect.Log(LogEvent.DISCOVERY_LEFT_OUT, leftOut, MAX_WORKERS));
+        }
         core.workers.values().stream().filter(worker -> worker.state != State.READY).forEach(core.pool::closeIdle);
         core.workers.values().removeIf(worker -> worker.state == State.GONE && worker.open == 0);
         core.module.listUpdated(core.now, update, workers);
--- a/src/main/java/granitefold/logging/LogEvent.java
+++ b/src/main/java/granitefold/logging/LogEvent.java
@@ -12,6 +12,7 @@
     PHASE("phase", Level.INFO, "phase: {}", "phase"),
     DISCOVERY_LIST("discovery.list", Level.INFO, "discovery: list {} {}, {} workers up", "version", "news", "up"),
     DISCOVERY_REFUSED("discovery.refused", Level.WARN, "discovery: list not taken in, the last one stands: {}", "reason"),
+    DISCOVERY_LEFT_OUT("discovery.left.out", Level.WARN, "discovery: {} workers left out, no more than {} are known at once", "workers", "limit"),
     DISCOVERY_ENDED("discovery.ended", Level.INFO, "discovery: watch ended: {}", "reason"),
     CONFIGURATION_READ("configuration.read", Level.INFO, "configuration: reloaded, discovery at {}", "discovery"),
     CONFIGURATION_KEPT("configuration.kept", Level.WARN, "configuration: kept as it was: {}", "reason"),
--- a/src/test/java/granitefold/real/MemoryLimitIT.java
+++ b/src/test/java/granitefold/real/MemoryLimitIT.java
@@ -25,6 +25,8 @@
     private static final String USUAL_FIELDS = "User-Agent: browser\r\nAccept: text/html\r\nAccept-Encoding: gzip\r\nContent-Type: text/plain\r\n";
     /** Clients may use half of the descriptors that the process does not need itself; these are left for sound ones. */
     private static final int DESCRIPTORS_OF_OTHERS = 40;
+    /** Changes of the list of workers, and how many workers come with each. */
+    private static final int LISTS = 9, WORKERS_PER_LIST = 5_000;
     private static final int LARGE_REQUESTS = 20, LARGE_BODY_BYTES = 60_000;
     /** How long the crowd stays, in which a sound client sends a request at each interval. */
     private static final long CROWD_MS = 2_500, SOUND_INTERVAL_MS = 50;
@@ -156,6 +158,29 @@
         }
     }
 
+    /** Guards against a fleet that grows by each name that discovery sends: at half of the memory 25,000 workers ended the process. */
+    @Test
+    public void everNewWorkersDoNotEndTheProcess() throws Exception {
+        try (Worker worker = new Worker("s-a"); RealProgram program = new RealProgram(Limits.HALF.configuration(), worker)) {
+            worker.serve("done");
+            Exchange watch = program.awaitServing();
+            for (int version = 2; version <= LISTS; version++) {
+                watch.writeLines(listOfNewWorkers(version, worker.server.getLocalPort()));
+            }
+            program.awaitLog("discovery: list " + LISTS);
+            assertEquals(program.client().write(RealProgram.request("/ficha", "after", RealTest.TIME, "soup")).readStatus(), 200);
+        }
+    }
+
+    private static String listOfNewWorkers(int version, int port) {
+        StringBuilder json = new StringBuilder("{\"index\":" + version + ",\"snapshot\":false,\"endpoints\":[");
+        for (int i = 0; i < WORKERS_PER_LIST; i++) {
+            json.append(i > 0 ? "," : "").append("{\"name\":\"s-").append(version).append('-').append(i).append("\",\"address\":\"127.0.0.1:").append(port)
+                    .append("\",\"status\":\"up\",\"weight\":1.0,\"since_ms\":0,\"zone\":\"a\",\"type\":\"m\"}");
+        }
+        return json + "]}";
+    }
+
     private static Thread startThread(Runnable task) {
         Thread thread = new Thread(task);
         thread.setDaemon(true);
