Lists of discovery are accounted for, and their buffers given back

Memory that discovery decides: a line of up to 4 MiB and an object joined of several lines, up to 4 MiB more, were counted nowhere and stayed with the watch for as long as it lasted.

--- a/src/main/java/granitefold/net/OutboundHttpConnection.java
+++ b/src/main/java/granitefold/net/OutboundHttpConnection.java
@@ -66,6 +66,9 @@
         return true;
     }
 
+    /** Called before the connection closes, to release what is held for it; may be called again. */
+    void onClosing() { }
+
     /** Called when the remote end has sent more than the limits permit, before {@link #onClosed}. */
     void onLimitExceeded(String reason) { }
 
@@ -130,6 +133,7 @@
     final void close() {
         closed = true;
         resizeLine(0);
+        onClosing();
         if (connection != null) {
             connection.turn.end(false);
             connection.close();
@@ -255,6 +259,7 @@
                 lineLength = 0;
                 connection.turn.addMessage();
                 onLine(lineBuffer, 0, length);
+                shrinkLine();
             } else if (lineLength == limits.lineBytes()) {
                 exceeded("response line too long");
             } else {
@@ -282,6 +287,13 @@
         return true;
     }
 
+    /** Releases the buffer of a long line: a single one must not hold its memory for the lifetime of the connection. */
+    private void shrinkLine() {
+        if (lineBuffer.length > MAX_RETAINED_LINE_BYTES) {
+            resizeLine(0);
+        }
+    }
+
     @Override
     public final boolean contentComplete() {
         return false;
@@ -289,10 +301,8 @@
 
     @Override
     public final boolean messageComplete() {
-        if (lineBuffer.length > MAX_RETAINED_LINE_BYTES) {
-            // a single long line must not hold its memory for the lifetime of the connection
-            resizeLine(0);
-        }
+        lineLength = 0;
+        shrinkLine();
         if (!closed) {
             // a response may end before its request is fully written: a second request would then start a concurrent write
             onResponseEnd(persistent && !writing);
--- a/src/main/java/granitefold/net/WatchHttpConnection.java
+++ b/src/main/java/granitefold/net/WatchHttpConnection.java
@@ -20,6 +20,8 @@
     private final InetSocketAddress discovery;
     private final long version;
     private final JsonObjectFramer frames = new JsonObjectFramer(MAX_LINE_BYTES);
+    /** What is accounted for the object that is being received. */
+    private int objectBytes;
 
     WatchHttpConnection(EventLoop loop, OutboundConnections connections, InetSocketAddress discovery, long version) {
         super(discovery, LIMITS);
@@ -48,6 +50,8 @@
         }
         try {
             JsonObjectFramer.Result result = frames.add(buffer, from, length);
+            // an object may be indented, and span many lines
+            holdObject(frames.heldBytes());
             if (result != JsonObjectFramer.Result.INCOMPLETE) {
                 loop.post(new Event.WatchUpdated(result == JsonObjectFramer.Result.BLANK ? null
                         : WorkerListJson.decode(frames.buffer(), frames.offset(), frames.length(), loop.vocabulary())));
@@ -57,6 +61,21 @@
         }
     }
 
+    private void holdObject(int bytes) {
+        loop.heldMemory().hold(HeldMemory.Use.WORKER_LIST, bytes - objectBytes);
+        objectBytes = bytes;
+    }
+
+    @Override
+    void onClosing() {
+        holdObject(0);
+    }
+
+    @Override
+    boolean reserveForLine(int bytes) {
+        return loop.heldMemory().reserve(HeldMemory.Use.WORKER_LIST, bytes);
+    }
+
     @Override
     void onResponseEnd(boolean reusable) {
         fail("response ended");
--- a/src/main/java/granitefold/wire/JsonObjectFramer.java
+++ b/src/main/java/granitefold/wire/JsonObjectFramer.java
@@ -17,8 +17,12 @@
         COMPLETE
     }
 
+    /** A longer buffer is dropped once its object has been processed. */
+    private static final int MAX_RETAINED_BYTES = 64 * 1024;
+    private static final byte[] EMPTY = {};
+
     private final int maxBytes;
-    private byte[] joined = {};
+    private byte[] joined = EMPTY;
     private int length;
     private int depth;
     private boolean inString;
@@ -35,6 +39,7 @@
     public Result add(byte[] line, int from, int size) {
         if (depth == 0 && !inString) {
             length = 0;
+            dropLongBuffer();
         }
         boolean started = length > 0;
         boolean blank = true;
@@ -61,6 +66,18 @@
         return complete ? Result.COMPLETE : Result.INCOMPLETE;
     }
 
+    private void dropLongBuffer() {
+        buffer = null;
+        if (joined.length > MAX_RETAINED_BYTES) {
+            joined = EMPTY;
+        }
+    }
+
+    /** Returns the bytes that are held for an object of several lines. */
+    public int heldBytes() {
+        return joined.length;
+    }
+
     private void scan(byte b) {
         if (inString) {
             if (escaped) {
--- a/src/test/java/granitefold/wire/JsonObjectFramerTest.java
+++ b/src/test/java/granitefold/wire/JsonObjectFramerTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import granitefold.wire.JsonObjectFramer.Result;
 import java.nio.charset.StandardCharsets;
@@ -57,4 +58,16 @@
             assertEquals("a list is too long", e.getMessage());
         }
     }
+
+    /** Guards against a buffer that holds the longest list for the lifetime of the watch. */
+    @Test
+    void bufferOfALongObjectIsDropped() {
+        JsonObjectFramer framer = new JsonObjectFramer(1 << 20);
+        byte[] part = ("{\"a\":\"" + "x".repeat(100_000) + "\",").getBytes(StandardCharsets.UTF_8);
+        framer.add(part, 0, part.length);
+        framer.add(new byte[] {'}'}, 0, 1);
+        assertTrue(framer.heldBytes() > 100_000);
+        framer.add(new byte[0], 0, 0);
+        assertEquals(0, framer.heldBytes());
+    }
 }
