A connection has one further turn submitted at most

Seen by reading: a turn that ends with input left submits the next one. A write that completes later, or input that becomes readable, begins a turn of its own and submitted another one, so that a client could have several turns in each round and as many tasks queued. How many was bounded by what is read ahead, and nobody was seen to be delayed by it. Change: ClientConnection submits a turn only where none is submitted. No test of its own: the fault was not shown.

--- a/src/main/java/granitefold/net/ClientConnection.java
+++ b/src/main/java/granitefold/net/ClientConnection.java
@@ -46,6 +46,8 @@
     private long unreadSinceNs;
     private State state = State.READING;
     private boolean readingInput;
+    /** Whether the next turn waits for the others to have theirs. */
+    private boolean nextTurnSubmitted;
     /** Whether the reducer was notified that a request has begun to arrive. */
     private boolean requestStarted = true;
     /** Whether a request was received: an idle connection without one is not half-closed, since its client is about to send its first. */
@@ -195,8 +197,15 @@
             unreadSinceNs = System.nanoTime() - TimeUnit.MICROSECONDS.toNanos(maxInputAgeUs());
         }
         reportPartialRequest();
+        if (nextTurnSubmitted) {
+            return;
+        }
         if (input.hasRemaining()) {
-            selectorThread.submit(this::readInput);
+            nextTurnSubmitted = true;
+            selectorThread.submit(() -> {
+                nextTurnSubmitted = false;
+                readInput();
+            });
         } else {
             awaitReadable();
         }
