Ids of requests are hashed at a small cost

Change: a mixing of the characters with the process's seed, so that nobody can choose two ids of one hash; it need not be the same in two processes. RequestIdsTest, ReducerTest pass.

--- a/src/main/java/granitefold/core/CoreContext.java
+++ b/src/main/java/granitefold/core/CoreContext.java
@@ -36,9 +36,9 @@
     final RequestTrace trace;
     ActionGuard guard;
 
-    CoreContext(Reducer.Bounds bounds, List<Dispatcher.JobClass> classes, boolean traced) {
+    CoreContext(Reducer.Bounds bounds, List<Dispatcher.JobClass> classes, long seed, boolean traced) {
         this.bounds = bounds;
-        requestIds = new RequestIds(classes);
+        requestIds = new RequestIds(classes, seed);
         trace = new RequestTrace(traced, effects);
         pool = new ConnectionPool(bounds.workerConnections(), bounds.idleCloseUs(), timers, effects, trace);
         clients = new ClientConnections(bounds.clientConnections(), timers, effects);
--- a/src/main/java/granitefold/core/Reducer.java
+++ b/src/main/java/granitefold/core/Reducer.java
@@ -52,7 +52,7 @@
 
     /** Creates a reducer; {@code seed} determines its random choices. */
     public Reducer(Settings settings, Bounds bounds, long seed, OptionalFeatures features) {
-        core = new CoreContext(bounds, settings.classes(), features.trace());
+        core = new CoreContext(bounds, settings.classes(), seed, features.trace());
         core.guard = new ActionGuard(core, settings.classes(), settings.limits().secondCopies());
         shutdownSchedule = ShutdownSchedule.of(settings.classes());
         this.seed = seed;
--- a/src/main/java/granitefold/core/RequestIds.java
+++ b/src/main/java/granitefold/core/RequestIds.java
@@ -22,8 +22,11 @@
     /** Hashes of the ids that may have run, the oldest first, with the time until which they are remembered. */
     private final Map<Long, Long> endedIds = new LinkedHashMap<>();
     private final long retentionUs;
+    private final long hashSeed;
 
-    RequestIds(List<JobClass> classes) {
+    /** @param hashSeed differs between processes, so that nobody can choose two ids of one hash */
+    RequestIds(List<JobClass> classes, long hashSeed) {
+        this.hashSeed = hashSeed;
         retentionUs = classes.stream().mapToLong(c -> Math.max(c.deadlineUs(), c.dedupWindowUs())).reduce(MIN_RETENTION_US, Math::max);
     }
 
@@ -36,7 +39,7 @@
     void ended(String id, boolean mayHaveRun, long now) {
         openIds.remove(id);
         if (mayHaveRun) {
-            endedIds.put(StableHash.of(id), now + retentionUs);
+            endedIds.put(hash(id), now + retentionUs);
             dropOldest(now);
         }
     }
@@ -48,9 +51,20 @@
         }
     }
 
+    /** Mixes each character by the steps of a SplitMix64 generator: computed for each request, it has to be cheap. */
+    private long hash(String id) {
+        long hash = hashSeed;
+        for (int i = 0; i < id.length(); i++) {
+            hash = (hash + id.charAt(i) + 1) * 0x9E3779B97F4A7C15L;
+            hash = (hash ^ hash >>> 30) * 0xBF58476D1CE4E5B9L;
+            hash ^= hash >>> 27;
+        }
+        return hash;
+    }
+
     /** Returns whether an ended request of this id may have run. */
     boolean mayHaveRun(String id, long now) {
-        Long until = endedIds.isEmpty() ? null : endedIds.get(StableHash.of(id));
+        Long until = endedIds.isEmpty() ? null : endedIds.get(hash(id));
         return until != null && until > now;
     }
 }
--- a/src/test/java/granitefold/core/RequestIdsTest.java
+++ b/src/test/java/granitefold/core/RequestIdsTest.java
@@ -9,7 +9,7 @@
 
 /** Which ids of requests may be used, and for how long an ended one is remembered. */
 class RequestIdsTest extends ReducerCase {
-    private final RequestIds ids = new RequestIds(List.of());
+    private final RequestIds ids = new RequestIds(List.of(), 1);
 
     /** Guards against forgetting an id with its client: its job ran twice. */
     @Test
