--- a/src/test/java/granitefold/real/PlantedIT.java
+++ b/src/test/java/granitefold/real/PlantedIT.java
@@ -29,7 +29,7 @@
             + "guardar { work = 150ms, effect = keyed, window = 12s, on-time = 750ms } }\n";
 
     /** Disables the program's own run-time check, which would refuse the send. */
-    private static final Patch WITHOUT_ACTION_GUARD = new Patch("core/ActionGuard.java", "        return violated(rule, request.submission.name());", "        return true;");
+    private static final Patch WITHOUT_ACTION_GUARD = new Patch("core/ActionGuard.java", "        return violated(rule, request.submission().name());", "        return true;");
 
     private static final Object[][] DEFECTS = {
         {"a job on a silent worker is sent to a second one as well", Rule.TWO_OUT, LIGHT_LOAD + "steps = [ { do = hang, to = [s0], at = 500ms } ]",
