Soak: a pause and a held write no longer meet one request

STANDING has one hold-up of up to 0.15 s between reading the clock and writing, and 0.15 s of slack.

Change: pauses and held writes of one process claim their time in the control file, 0.5 s apart, as held writes among themselves did.

--- a/src/main/java/granitefold/standin/faults/SystemCallFaults.java
+++ b/src/main/java/granitefold/standin/faults/SystemCallFaults.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.lang.invoke.MethodHandles;
+import java.lang.invoke.VarHandle;
 import java.nio.ByteOrder;
 import java.nio.MappedByteBuffer;
 import java.nio.channels.FileChannel;
@@ -9,6 +11,7 @@
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 
 /** The control file of one process: enables and disables its faults while it runs, and counts the injected ones. */
 public final class SystemCallFaults {
@@ -17,6 +20,12 @@
     private static final int ALWAYS_PERCENT = 100;
     /** A special value of the percentage: only the next call is affected. */
     private static final int NEXT_CALL_ONLY = 101;
+    /** Where the control file has the time before which no hold-up of the process may begin, in milliseconds of the monotonic clock. */
+    private static final int NEXT_HOLD_OFFSET = SystemCallFault.values().length * SLOT_BYTES;
+    private static final int CONTROL_BYTES = NEXT_HOLD_OFFSET + Long.BYTES;
+    private static final VarHandle LONG = MethodHandles.byteBufferViewVarHandle(long[].class, ByteOrder.nativeOrder());
+    /** From the end of a hold-up to the next: by then the process has read what arrived meanwhile. */
+    private static final long MIN_HOLD_INTERVAL_MS = 500;
 
     private final Path library;
     private final Path control;
@@ -56,9 +65,8 @@
 
     /** Creates the control file of one process, with all faults disabled. */
     public static SystemCallFaults create(Path library, Path control) throws IOException {
-        int size = SystemCallFault.values().length * SLOT_BYTES;
         try (FileChannel channel = FileChannel.open(control, StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE)) {
-            MappedByteBuffer slots = channel.map(FileChannel.MapMode.READ_WRITE, 0, size);
+            MappedByteBuffer slots = channel.map(FileChannel.MapMode.READ_WRITE, 0, CONTROL_BYTES);
             slots.order(ByteOrder.nativeOrder());
             return new SystemCallFaults(library, control, slots);
         }
@@ -91,6 +99,17 @@
         slots.putInt(fault.ordinal() * SLOT_BYTES, 0);
     }
 
+    /**
+     * Claims a hold-up of the process for this long, which the caller then causes; returns false if another one, also one that the
+     * library has caused by {@link SystemCallFault#HELD_WRITE}, is under way or has just ended.
+     */
+    public boolean claimHoldUp(long ms) {
+        // the monotonic clock that the library reads
+        long nowMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+        long nextMs = (long) LONG.getVolatile(slots, NEXT_HOLD_OFFSET);
+        return nowMs >= nextMs && LONG.compareAndSet(slots, NEXT_HOLD_OFFSET, nextMs, nowMs + ms + MIN_HOLD_INTERVAL_MS);
+    }
+
     /** Returns how often the fault has been injected so far. */
     public long injected(SystemCallFault fault) {
         return slots.getLong(fault.ordinal() * SLOT_BYTES + INJECTED_OFFSET);
--- a/src/main/java/granitefold/standin/ground/ProcessFaults.java
+++ b/src/main/java/granitefold/standin/ground/ProcessFaults.java
@@ -19,6 +19,8 @@
     private static final long MAX_ACCEPT_FAULT_DELAY_MS = 400, MAX_ACCEPT_FAULT_MS = 300;
     private static final double ALWAYS_PERCENT = 100;
     private static final int MAX_IDLE_CONNECTIONS = 400, CONNECT_TIMEOUT_MS = 200;
+    /** How long a pause waits for its turn after another hold-up of the process, and how often it looks. */
+    private static final long MAX_HOLD_UP_WAIT_MS = 2_000, HOLD_UP_POLL_MS = 5;
     private static final String[] SIGNAL_SERIES = {"HUP", "TERM", "HUP", "INT", "TERM", "HUP"};
     private static final long MAX_SIGNAL_INTERVAL_MS = 120;
 
@@ -61,7 +63,7 @@
     /** Applies a fault; {@code amount}: the percentage of system calls, or the milliseconds of a pause. */
     void start(String action, DispatcherUnderTest dispatcher, double amount) throws IOException, InterruptedException {
         switch (action) {
-            case "hold" -> pause(dispatcher, amount > 0 ? (long) amount : MAX_PAUSE_MS);
+            case "hold" -> pauseWhenAllowed(dispatcher, Math.min(MAX_PAUSE_MS, amount > 0 ? (long) amount : MAX_PAUSE_MS));
             case "release" -> restartGracefully(dispatcher);
             case "crash" -> crash(dispatcher, (long) amount);
             case "crowd" -> openIdleConnections(dispatcher);
@@ -95,15 +97,30 @@
         dispatcher.faults.enable(fault, percent, value);
     }
 
-    /** Pauses a process for a time that the rules must tolerate; it is not recorded, so it permits no violation. */
-    private static void pause(DispatcherUnderTest dispatcher, long ms) throws IOException, InterruptedException {
+    /** Pauses a process once no other hold-up is under way or has just ended: the rules tolerate a single one between two reads of its clock. */
+    private static void pauseWhenAllowed(DispatcherUnderTest dispatcher, long ms) throws IOException, InterruptedException {
+        long untilNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MAX_HOLD_UP_WAIT_MS);
+        while (!pause(dispatcher, ms) && System.nanoTime() < untilNs) {
+            Thread.sleep(HOLD_UP_POLL_MS);
+        }
+    }
+
+    /** Pauses a process; returns false if another hold-up forbids it now. A pause is not recorded, so it permits no violation. */
+    private static boolean pause(DispatcherUnderTest dispatcher, long ms) throws IOException, InterruptedException {
+        if (!claimHoldUp(dispatcher, ms)) {
+            return false;
+        }
         DispatcherUnderTest.Incarnation incarnation = dispatcher.current();
-        if (incarnation == null || !incarnation.process.isAlive()) {
-            return;
+        if (incarnation != null && incarnation.process.isAlive()) {
+            dispatcher.sendUnrecordedSignal(incarnation, "STOP");
+            Thread.sleep(ms);
+            dispatcher.sendUnrecordedSignal(incarnation, "CONT");
         }
-        dispatcher.sendUnrecordedSignal(incarnation, "STOP");
-        Thread.sleep(Math.min(MAX_PAUSE_MS, ms));
-        dispatcher.sendUnrecordedSignal(incarnation, "CONT");
+        return true;
+    }
+
+    private static boolean claimHoldUp(DispatcherUnderTest dispatcher, long ms) {
+        return dispatcher.faults == null || dispatcher.faults.claimHoldUp(ms);
     }
 
     /** Terminates a process amid pauses and signals, kills it if it still runs when the platform may first do so, and restarts it. */
@@ -117,13 +134,14 @@
             }
             long terminatedNs = System.nanoTime();
             testBed.loadBalancer.removeAt(dispatcher, testBed.history.now() + LoadBalancer.TERMINATED_TRAFFIC_US);
-            boolean pausedFirst = draw(2) == 0;
+            long firstPauseMs = draw((int) MAX_PAUSE_MS);
+            boolean pausedFirst = draw(2) == 0 && claimHoldUp(dispatcher, firstPauseMs);
             if (pausedFirst) {
                 dispatcher.sendUnrecordedSignal(dispatcher.current(), "STOP");
             }
             dispatcher.terminate();
             if (pausedFirst) {
-                Thread.sleep(draw((int) MAX_PAUSE_MS));
+                Thread.sleep(firstPauseMs);
                 dispatcher.sendUnrecordedSignal(dispatcher.current(), "CONT");
             }
             if (draw(2) == 0) {
--- a/src/main/resources/granitefold/standin/faults/faults.c
+++ b/src/main/resources/granitefold/standin/faults/faults.c
@@ -30,6 +30,7 @@
 };
 
 #define NS_PER_MS 1000000L
+/* As in granitefold.standin.faults.SystemCallFaults. */
 #define MIN_HOLD_INTERVAL_MS 500
 /* A special value of `percent`: only the next call is affected. */
 #define NEXT_CALL_ONLY 101
@@ -38,6 +39,14 @@
 
 #define MAX_TRACKED_FD 65536
 
+/* The content of the control file. */
+struct control {
+    struct slot slots[FAULTS];
+    /* No hold-up of the process may begin before this time of CLOCK_MONOTONIC, in milliseconds. */
+    volatile int64_t next_hold_ms;
+};
+
+static struct control *control;
 static struct slot *slots;
 /* Descriptors of outgoing connections. BROKEN_READ applies only to these; the test process breaks those of clients itself. */
 static volatile unsigned char outgoing[MAX_TRACKED_FD];
@@ -55,8 +64,9 @@
     if (fd < 0) {
         return;
     }
-    void *mapped = mmap(NULL, FAULTS * sizeof(struct slot), PROT_READ | PROT_WRITE, MAP_SHARED, fd, 0);
-    slots = mapped == MAP_FAILED ? NULL : mapped;
+    void *mapped = mmap(NULL, sizeof(struct control), PROT_READ | PROT_WRITE, MAP_SHARED, fd, 0);
+    control = mapped == MAP_FAILED ? NULL : mapped;
+    slots = control ? control->slots : NULL;
     close(fd);
 }
 
@@ -109,15 +119,19 @@
     return is_type(fd, S_IFSOCK) && getsockopt(fd, SOL_SOCKET, SO_TYPE, &type, &length) == 0 && type == SOCK_STREAM;
 }
 
-/* A process is delayed at most once between two reads of its clock, not at each write of one message. */
-static int64_t next_hold_ms;
+/* Claims the next hold-up: the test process pauses this one too, and a request must not meet two hold-ups in a row. */
+static int claim_hold(int64_t now_ms) {
+    int64_t next_ms = control->next_hold_ms;
+    int64_t following_ms = now_ms + slots[HELD_WRITE].value + MIN_HOLD_INTERVAL_MS;
+    return now_ms >= next_ms
+        && __atomic_compare_exchange_n(&control->next_hold_ms, &next_ms, following_ms, 0, __ATOMIC_SEQ_CST, __ATOMIC_SEQ_CST);
+}
 
 static void hold(void) {
     struct timespec now;
     CALL(clock_gettime, CLOCK_MONOTONIC, &now);
     int64_t now_ms = (int64_t) now.tv_sec * 1000 + now.tv_nsec / NS_PER_MS;
-    if (now_ms >= next_hold_ms && should_inject(HELD_WRITE)) {
-        next_hold_ms = now_ms + slots[HELD_WRITE].value + MIN_HOLD_INTERVAL_MS;
+    if (now_ms >= control->next_hold_ms && should_inject(HELD_WRITE) && claim_hold(now_ms)) {
         struct timespec delay = {0, slots[HELD_WRITE].value * NS_PER_MS};
         nanosleep(&delay, NULL);
     }
--- a/src/test/java/granitefold/real/SystemCallsIT.java
+++ b/src/test/java/granitefold/real/SystemCallsIT.java
@@ -15,7 +15,8 @@
 /** The built program with system calls that fail in ways that Linux documents. */
 public class SystemCallsIT extends FaultTest {
     private static final long IDLE_MS = 200;
-    private static final int ALWAYS_PERCENT = 100, CONNECT_TIMEOUT_MS = 5_000, ACCEPT_FAILURE_MS = 250, START_FAILURE_MS = 1_000, TOLERANCE_MS = 150;
+    private static final int ALWAYS_PERCENT = 100, CONNECT_TIMEOUT_MS = 5_000, ACCEPT_FAILURE_MS = 250, START_FAILURE_MS = 1_000, TOLERANCE_MS = 150,
+            HELD_WRITE_MS = 900, LONG_PAUSE_MS = 10_000;
 
     @DataProvider
     public Object[][] connectErrors() {
@@ -88,6 +89,29 @@
         assertEquals(client.readStatus(), 200);
     }
 
+    /** Guards the soak against a pause and a held write in a row, which together are longer than a dispatcher has to tolerate. */
+    @Test
+    public void pauseAndHeldWriteDoNotMeetOneRequest() throws Exception {
+        startWithFaults();
+        faults.enable(SystemCallFault.HELD_WRITE, ALWAYS_PERCENT, HELD_WRITE_MS);
+        Exchange first = send("/ficha", "t1", "");
+        while (faults.injected(SystemCallFault.HELD_WRITE) == 0) {
+            Thread.onSpinWait();
+        }
+        assertTrue(!faults.claimHoldUp(HELD_WRITE_MS), "a pause may begin during a held write");
+        Exchange worker = workerA.accept().startAnswer("done");
+        worker.endAnswer();
+        assertEquals(first.readStatus(), 200);
+        while (!faults.claimHoldUp(LONG_PAUSE_MS)) {
+            Thread.onSpinWait();
+        }
+        long injected = faults.injected(SystemCallFault.HELD_WRITE);
+        Exchange second = send("/ficha", "t2", "");
+        nextAttempt(worker).startAnswer("done").endAnswer();
+        assertEquals(second.readStatus(), 200);
+        assertEquals(faults.injected(SystemCallFault.HELD_WRITE), injected, "writes that were held after the pause");
+    }
+
     /** Guards against the event loop blocking in accept, which the JDK retries for as long as it fails with ECONNABORTED. */
     @Test
     public void openConnectionsAreServedWhileEveryAcceptIsAborted() throws Exception {
