A change of the workers no longer goes through all known ones several times

Now it looks at the workers that the line names and at those that had left before; the count alone is still over all.

--- a/src/main/java/granitefold/core/Worker.java
+++ b/src/main/java/granitefold/core/Worker.java
@@ -15,8 +15,6 @@
     State state;
     /** The last listing by discovery, as passed to the module. */
     Dispatcher.Worker listed;
-    /** Whether it drains because of an older list than the last accepted one. */
-    boolean drainedByOlderList;
     /** The number of open connections in any state. */
     int open;
     /** Idle connections, the most recently used first. */
--- a/src/main/java/granitefold/core/WorkerRegistry.java
+++ b/src/main/java/granitefold/core/WorkerRegistry.java
@@ -6,6 +6,7 @@
 import granitefold.health.WorkerHealthTracker;
 import granitefold.logging.LogEvent;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -16,6 +17,10 @@
     static final int MAX_WORKERS = 12_800;
 
     private final CoreContext core;
+    /** The workers that drain because of an older list than the last accepted one. */
+    private final List<Worker> drainedByOlderList = new ArrayList<>();
+    /** The workers that have left the list while connections to them are open. */
+    private final Set<Worker> departing = new HashSet<>();
 
     WorkerRegistry(CoreContext coreContext) {
         core = coreContext;
@@ -26,13 +31,9 @@
         if (update != ListUpdate.CHANGES) {
             core.workers.values().forEach(worker -> worker.state = State.GONE);
         } else {
-            // drains by an older list are reverted, unless this list repeats them
-            core.workers.values().stream().filter(worker -> worker.drainedByOlderList && worker.state == State.DRAINING).forEach(worker -> {
-                worker.state = worker.listed.state();
-                workers.add(core.health == null ? worker.listed : core.health.withOverlay(worker.listed));
-            });
+            revertDrains(workers);
         }
-        core.workers.values().forEach(worker -> worker.drainedByOlderList = false);
+        drainedByOlderList.clear();
         // a whole list replaces the workers known before
         int known = update == ListUpdate.CHANGES ? core.workers.size() : 0;
         int leftOut = 0;
@@ -56,16 +57,59 @@
         if (leftOut > 0) {
             core.effects.add(new Effect.Log(LogEvent.DISCOVERY_LEFT_OUT, leftOut, MAX_WORKERS));
         }
-        core.workers.values().stream().filter(worker -> worker.state != State.READY).forEach(core.pool::closeIdle);
-        core.workers.values().removeIf(worker -> worker.state == State.GONE && worker.open == 0);
+        if (update == ListUpdate.CHANGES) {
+            list.entries().forEach(entry -> closeUnlessReady(core.workers.get(Worker.id(entry.name()))));
+        } else {
+            core.workers.values().forEach(this::closeUnlessReady);
+        }
+        forgetDeparted();
         core.module.listUpdated(core.now, update, workers);
         core.effects.add(new Effect.Log(LogEvent.DISCOVERY_LIST, list.version(), update,
-                core.workers.values().stream().filter(worker -> worker.state == State.READY).count()));
+                readyCount()));
         if (core.health != null) {
             healthChanged(core.health.listUpdated(core.workers.values(), core.now));
         }
     }
 
+    /** Takes back the drains by an older list, unless the new list repeats them. */
+    private void revertDrains(List<Dispatcher.Worker> changed) {
+        for (Worker worker : drainedByOlderList) {
+            if (worker.state == State.DRAINING) {
+                worker.state = worker.listed.state();
+                changed.add(core.health == null ? worker.listed : core.health.withOverlay(worker.listed));
+            }
+        }
+    }
+
+    /** Closes the idle connections to a worker that takes no more requests. */
+    private void closeUnlessReady(Worker worker) {
+        if (worker != null && worker.state != State.READY) {
+            core.pool.closeIdle(worker);
+            if (worker.state == State.GONE) {
+                departing.add(worker);
+            }
+        }
+    }
+
+    /** Forgets the workers that have left the list and have no open connections; one may also have come back. */
+    private void forgetDeparted() {
+        departing.removeIf(worker -> {
+            boolean departed = worker.state == State.GONE && worker.open == 0;
+            if (departed) {
+                core.workers.remove(worker.id, worker);
+            }
+            return departed || worker.state != State.GONE;
+        });
+    }
+
+    private long readyCount() {
+        long ready = 0;
+        for (Worker worker : core.workers.values()) {
+            ready += worker.state == State.READY ? 1 : 0;
+        }
+        return ready;
+    }
+
     /** Drains the workers that an older list does not show as ready, until the next accepted list. */
     void applyDrains(WorkerList olderList) {
         Set<String> readyNames = olderList.entries().stream().filter(entry -> entry.state() == State.READY).map(WorkerList.Entry::name)
@@ -75,7 +119,7 @@
         for (Worker worker : core.workers.values()) {
             if (worker.state == State.READY && !readyNames.contains(worker.name) && (olderList.whole() || listedNames.contains(worker.name))) {
                 worker.state = State.DRAINING;
-                worker.drainedByOlderList = true;
+                drainedByOlderList.add(worker);
                 core.pool.closeIdle(worker);
                 workers.add(new Dispatcher.Worker(worker.id, worker.listed.size(), State.DRAINING, worker.listed.startedAtUs(),
                         worker.listed.zone(), worker.listed.cell(), worker.listed.kind()));
