Held jobs of a large fleet are tried less often

What callers saw, in a test on the whole program: 3,200 workers that have all just started, 14 dispatchers, 100 requests a second. All jobs are held, since no worker may be sent one yet, and every answer of the process is late: health checks took 0.59 s in the middle and 1.17 s at the longest (0.95 s in the test).

Cause: each held job is tried every 40 ms, and each try goes over all workers three times: with some hundred jobs held that is more than a core does.

Change: all held jobs together are compared with 10,000 workers in 40 ms at most (50 jobs at 200 workers: as before), and the pause ends 40 ms before the result is no longer useful, as the last try did before. Workers outside the subset are looked at once for each try.

--- a/src/main/java/granitefold/policy/Admission.java
+++ b/src/main/java/granitefold/policy/Admission.java
@@ -80,6 +80,10 @@
      * Adds the workers outside the subset, whose load nobody reports: the subset's mean wait stands for it.
      */
     void addWorkersOutsideSubset(Job job, long now) {
+        if (state.lastEstimateOutsideSubset == state.estimates) {
+            return;
+        }
+        state.lastEstimateOutsideSubset = state.estimates;
         for (TrackedWorker worker : state.workers.values()) {
             if (constraints.accepts(worker, job) && slowStart.allows(job, worker, now)
                     && worker.lastEstimate != state.estimates) {
--- a/src/main/java/granitefold/policy/DispatchPolicy.java
+++ b/src/main/java/granitefold/policy/DispatchPolicy.java
@@ -13,8 +13,13 @@
  * policy} hold data.
  */
 public final class DispatchPolicy implements Dispatcher {
-    /** Time after which a held request is tried again. */
+    /** Time after which a held request is tried again, unless many are held in a large fleet. */
     static final long HOLD_US = 40_000;
+    /**
+     * Number of workers that all held jobs together may be compared with in that time: in a large fleet
+     * without room, their tries would keep the process so busy that answers to others are late.
+     */
+    static final int MAX_HOLD_COMPARISONS = 10_000;
     static final long TIMER_GOSSIP = 1, TIMER_WATCH = 2, TIMER_JOB = 3;
 
     final PolicyState state;
@@ -141,6 +146,7 @@
         } else if (token == TIMER_WATCH) {
             state.actions.watch();
         } else if (token % 4 == TIMER_JOB) {
+            state.heldJobs--;
             Job job = jobs.get(token / 4);
             if (job != null && !job.over && job.openAttempts == 0) {
                 estimateWaits(job, now);
@@ -209,17 +215,27 @@
      */
     private void dispatch(Job job, long now) {
         TrackedWorker worker = constraints.timeLeftUs(job, now) > 0 ? selector.select(job, now) : null;
+        double usefulUs = Math.min(admission.allowedUs(job, now), constraints.timeLeftUs(job, now));
         if (worker != null) {
             send(job, worker, now);
-        } else if (Math.min(admission.allowedUs(job, now), constraints.timeLeftUs(job, now)) > HOLD_US
+        } else if (usefulUs > HOLD_US
                 && constraints.mayRepeat(job, null, now)
                 && job.attempts.size() < state.settings.limits().maxAttempts()) {
-            state.actions.timer(HOLD_US, job.id * 4 + TIMER_JOB);
+            hold(job, usefulUs);
         } else {
             finish(job, now);
         }
     }
 
+    /** Holds a job until it is tried again, the last time while its result can still be useful. */
+    private void hold(Job job, double usefulUs) {
+        state.heldJobs++;
+        double comparisons = (double) state.heldJobs * state.workers.size();
+        double pauseUs = HOLD_US * Math.max(1, comparisons / MAX_HOLD_COMPARISONS);
+        state.actions.timer((long) Math.max(HOLD_US, Math.min(pauseUs, usefulUs - HOLD_US)),
+                job.id * 4 + TIMER_JOB);
+    }
+
     private void send(Job job, TrackedWorker worker, long now) {
         long windowUs = constraints.repeatWindowUs(job, now);
         Attempt attempt = new Attempt(job, worker, now, worker.expectedWaitUs, waits.fetchUs(worker, job));
--- a/src/main/java/granitefold/policy/PolicyState.java
+++ b/src/main/java/granitefold/policy/PolicyState.java
@@ -50,6 +50,10 @@
     final List<TrackedWorker> candidates = new ArrayList<>();
     /** The number of estimates of waits so far. */
     long estimates;
+    /** The number of the last one that workers outside the subset were added to. */
+    long lastEstimateOutsideSubset;
+    /** Number of jobs that are held until they are tried again. */
+    int heldJobs;
     double meanWaitUs;
     double fetchUs = WaitEstimator.INITIAL_FETCH_US, keptKeys = WaitEstimator.INITIAL_KEPT_KEYS;
     /** Per class, the wait that a mean job can bear and still be on time. */
@@ -67,7 +71,7 @@
     boolean superseded;
     /** The listed workers in the orders that the subsets of all dispatchers are made from. */
     final List<ShuffledOrder> orders = new ArrayList<>();
-    /** Whether the list has changed since the subset was made, and the workers that have left it meanwhile. */
+    /** Whether the list has changed since the subset was made, and which workers have left it meanwhile. */
     boolean subsetOutdated;
     final List<TrackedWorker> removedWorkers = new ArrayList<>();
     /** The next pause before the list is watched again. */
