--- a/src/main/java/granitefold/policy/PolicyState.java
+++ b/src/main/java/granitefold/policy/PolicyState.java
@@ -42,8 +42,8 @@
      */
     double meanWorkUs = Admission.DEFAULT_WORK_US;
     long hintsSeen;
-    /** Largest total size of the listed workers so far. */
-    double maxTotalSize;
+    /** Total size of the listed workers, and the largest one so far. */
+    double totalSize, maxTotalSize;
     /** Workers of our subset and those in slow start. */
     List<TrackedWorker> preferred = List.of();
     /** Workers that the current job may go to: preferred ones and, if need be, those outside the subset. */
--- a/src/main/java/granitefold/policy/Subset.java
+++ b/src/main/java/granitefold/policy/Subset.java
@@ -34,10 +34,15 @@
         }
         if (update != ListUpdate.CHANGES) {
             state.workers.values().forEach(w -> w.state = State.GONE);
+            state.totalSize = 0;
         }
         for (Worker entry : entries) {
-            state.workers.computeIfAbsent(entry.id(), TrackedWorker::new).update(entry);
+            TrackedWorker worker = state.workers.computeIfAbsent(entry.id(), TrackedWorker::new);
+            state.totalSize -= listedSize(worker);
+            worker.update(entry);
+            state.totalSize += listedSize(worker);
         }
+        state.maxTotalSize = Math.max(state.maxTotalSize, state.totalSize);
         if (update != ListUpdate.CHANGES) {
             List.copyOf(state.workers.values()).forEach(this::forgetIfGone);
         } else {
@@ -49,6 +54,10 @@
         }
     }
 
+    private static double listedSize(TrackedWorker worker) {
+        return worker.state == null || worker.state == State.GONE ? 0 : worker.size;
+    }
+
     /** Forgets a worker that has left the list, unless jobs of ours are still open there. */
     private void forgetIfGone(TrackedWorker worker) {
         if (worker != null && worker.state == State.GONE && worker.openAttempts.isEmpty()) {
@@ -70,18 +79,15 @@
         List<TrackedWorker> added = new ArrayList<>();
         List<TrackedWorker> removed = new ArrayList<>(state.removedWorkers);
         state.removedWorkers.clear();
-        double totalSize = 0;
         for (TrackedWorker worker : state.workers.values()) {
             boolean isListed = worker.state != State.GONE;
             if (isListed) {
                 listed.add(worker);
-                totalSize += worker.size;
             }
             if (isListed != worker.inOrders) {
                 (isListed ? added : removed).add(worker);
             }
         }
-        state.maxTotalSize = Math.max(state.maxTotalSize, totalSize);
         if (!added.isEmpty() || !removed.isEmpty()) {
             updateOrders(listed, added, removed);
             assignSubset(listed.size());
--- a/src/main/java/granitefold/policy/WaitEstimator.java
+++ b/src/main/java/granitefold/policy/WaitEstimator.java
@@ -66,8 +66,9 @@
         double needed = slowStart.quotaRatePerS(worker) * state.meanWorkUs / 1e6
                 * state.hintsSeen / (state.hintsSeen + SLOTS_PRIOR_JOBS / users)
                 / (1 + (kind == null ? 0 : kind.count) / SLOTS_PRIOR_JOBS / users);
+        // a previous process may have learned of a kind without seeing its slots
         return Math.max(Math.max(worker.slotsSeen, (int) Math.ceil(Math.min(MAX_QUOTA_SLOTS, needed))),
-                state.kindSlots.getOrDefault(worker.kind, 1));
+                Math.max(1, state.kindSlots.getOrDefault(worker.kind, 1)));
     }
 
     void recordSlots(TrackedWorker worker, int seen) {
--- a/src/test/java/granitefold/policy/DispatchPolicyTest.java
+++ b/src/test/java/granitefold/policy/DispatchPolicyTest.java
@@ -10,6 +10,7 @@
 import granitefold.Dispatcher.ListUpdate;
 import granitefold.Dispatcher.Outcome;
 import granitefold.Dispatcher.Request;
+import granitefold.recovery.LearnedState;
 import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
@@ -277,6 +278,28 @@
      * A start note can overtake the answer of the job whose end made room for it. Counted at once, it added a slot, and
      * estimated waits were half as long.
      */
+    /** Guards against a worker without any slot, on which no wait can be estimated: each decision ended in an internal error. */
+    @Test
+    void kindThatAPreviousProcessLearnedWithoutItsSlotsHasOne() {
+        TestBed bed = new TestBed(1, false).withThreeWorkers();
+        LearnedState.Kind kind = new LearnedState.Kind(0, 0, 5, 0);
+        bed.policy.restore(bed.now, new LearnedState(bed.now, 0, 0, 0, 0, List.of(kind), List.of(), List.of(), List.of()));
+        assertEquals(3, bed.policy.pressure(bed.now).ready());
+        bed.request(TestBed.SAFE, 0, 0, 9_000);
+        assertEquals(1, bed.sendTargets.size());
+    }
+
+    /** Guards against quotas that count for nothing until the first decision. */
+    @Test
+    void sizeOfTheFleetIsKnownBeforeTheFirstDecision() {
+        TestBed bed = new TestBed(1, false).withThreeWorkers();
+        assertEquals(3, bed.policy.state.maxTotalSize);
+        bed.updateList(ListUpdate.CHANGES, new Dispatcher.Worker(13, 2, Dispatcher.State.READY, 0, 0, 0, 0));
+        bed.updateList(ListUpdate.CHANGES, new Dispatcher.Worker(13, 2, Dispatcher.State.GONE, 0, 0, 0, 0), TestBed.worker(10, 0, 0));
+        assertEquals(5, bed.policy.state.maxTotalSize);
+        assertEquals(3, bed.policy.state.totalSize);
+    }
+
     @Test
     void aStartThatOvertakesAnEndAddsNoSlot() {
         TestBed bed = new TestBed(1, false).updateList(ListUpdate.WHOLE, TestBed.worker(10, 0, 0));
