--- a/src/test/java/granitefold/bench/FleetBench.java
+++ b/src/test/java/granitefold/bench/FleetBench.java
@@ -37,29 +37,17 @@
     private long lastId;
     private int nextMessage;
 
-    private record RecordingActions(List<byte[]> sentMessages) implements Dispatcher.Actions {
-        @Override
-        public void send(long request, long worker, long waitUs, long startUs) { }
-
-        @Override
-        public void cancel(long request, int attempt) { }
+    private static final class RecordingActions extends NoActions {
+        private final List<byte[]> sentMessages;
 
-        @Override
-        public void refuse(long request, long retryAfterUs, Dispatcher.Refusal why) { }
-
-        @Override
-        public void fail(long request) { }
-
-        @Override
-        public void timer(long afterUs, long token) { }
+        RecordingActions(List<byte[]> sentMessages) {
+            this.sentMessages = sentMessages;
+        }
 
         @Override
-        public void sendToSibling(int worker, byte[] message) {
+        public void sendToSibling(int sibling, byte[] message) {
             sentMessages.add(message);
         }
-
-        @Override
-        public void watch() { }
     }
 
     /** Creates two of fourteen dispatchers, each with some open jobs. */
--- a/src/test/java/granitefold/bench/ListChangeBench.java
+++ b/src/test/java/granitefold/bench/ListChangeBench.java
@@ -36,29 +36,6 @@
     private long firstWorker;
     private long lastRequest;
 
-    private static final class NoActions implements Dispatcher.Actions {
-        @Override
-        public void send(long request, long worker, long waitUs, long startUs) { }
-
-        @Override
-        public void cancel(long request, int attempt) { }
-
-        @Override
-        public void refuse(long request, long retryAfterUs, Dispatcher.Refusal why) { }
-
-        @Override
-        public void fail(long request) { }
-
-        @Override
-        public void timer(long afterUs, long token) { }
-
-        @Override
-        public void sendToSibling(int worker, byte[] message) { }
-
-        @Override
-        public void watch() { }
-    }
-
     /** Creates a dispatcher that knows all workers and has made one decision. */
     @Setup
     public void setUp() {
