--- a/review/src-2/Kit.java
+++ b/review/src-2/Kit.java
@@ -30,6 +30,8 @@
     final Path root;
     final Path folder;
     private final PrintWriter record;
+    /** Whether single requests are left out of the record. */
+    volatile boolean quiet;
     private final List<Path> folders = Collections.synchronizedList(new ArrayList<>());
     private final List<Process> processes = Collections.synchronizedList(new ArrayList<>());
 
@@ -493,7 +495,9 @@
                 InputStream in = new BufferedInputStream(socket.getInputStream());
                 OutputStream out = socket.getOutputStream();
                 for (Request request = Request.read(in); request != null; request = Request.read(in)) {
-                    note(name + " got " + request.id());
+                    if (!quiet) {
+                        note(name + " got " + request.id());
+                    }
                     runs.merge(request.id(), 1, Integer::sum);
                     if (!behaviour.run(this, request, socket, out)) {
                         return;
