--- a/review/src-2/Kit.java
+++ b/review/src-2/Kit.java
@@ -25,6 +25,8 @@
 /** The stand-ins of a case: discovery, cocineros, clients, and the dispatcher under review as a process of its own. */
 final class Kit implements AutoCloseable {
     static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
+    /** A play that is not over by then ends its processes and exits with 2. */
+    private static final long MAX_PLAY_MS = 110_000;
     private static final long START_NS = System.nanoTime();
 
     final Path root;
@@ -40,6 +42,11 @@
         root = folder.getParent().getParent();
         record = new PrintWriter(Files.newBufferedWriter(folder.resolve("record.txt")));
         Runtime.getRuntime().addShutdownHook(new Thread(this::close));
+        thread(() -> {
+            sleep(MAX_PLAY_MS);
+            note("not over after " + MAX_PLAY_MS + " ms: the case could not run");
+            System.exit(2);
+        });
     }
 
     static long ms() {
