--- a/review/src-2/Case9.java
+++ b/review/src-2/Case9.java
@@ -120,8 +120,11 @@
                     try (Kit.Client client = new Kit.Client(port)) {
                         for (int job = 0; job < 20; job++) {
                             byte[] body = new byte[ThreadLocalRandom.current().nextInt(20_000)];
-                            client.send(Kit.job("ficha", "m" + number.incrementAndGet(), 5_000, "X-Estimate: 150000\r\n", body));
+                            String id = "m" + number.incrementAndGet();
+                            client.send(Kit.job("ficha", id, 5_000, "X-Estimate: 150000\r\n", body));
+                            kit.note("client sent " + id + ", " + body.length + " bytes");
                             Kit.Answer answer = client.read(5_550);
+                            kit.note("answer to " + id + ": " + (answer == null ? "closed" : answer.status()));
                             count(answers, answer == null ? "closed" : Integer.toString(answer.status()));
                             if (answer == null || "close".equals(answer.headers().get("connection"))) {
                                 break;
--- a/review/src-2/Kit.java
+++ b/review/src-2/Kit.java
@@ -24,23 +24,21 @@
 
 /** The stand-ins of a case: discovery, cocineros, clients, and the dispatcher under review as a process of its own. */
 final class Kit implements AutoCloseable {
-    static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
+    static final InetAddress LOOPBACK = loopback();
     /** A play that is not over by then ends its processes and exits with 2. */
     private static final long MAX_PLAY_MS = 110_000;
     private static final long START_NS = System.nanoTime();
 
     final Path root;
-    final Path folder;
     private final PrintWriter record;
-    /** Whether single requests are left out of the record. */
-    volatile boolean quiet;
     private final List<Path> folders = Collections.synchronizedList(new ArrayList<>());
     private final List<Process> processes = Collections.synchronizedList(new ArrayList<>());
 
-    Kit(String caseFolder) throws IOException {
-        folder = Path.of(caseFolder).toAbsolutePath().normalize();
-        root = folder.getParent().getParent();
-        record = new PrintWriter(Files.newBufferedWriter(folder.resolve("record.txt")));
+    /** @param recordFile the file in the case's folder that the play is written to */
+    Kit(String recordFile) throws IOException {
+        Path file = Path.of(recordFile).toAbsolutePath().normalize();
+        root = file.getParent().getParent().getParent();
+        record = new PrintWriter(Files.newBufferedWriter(file));
         Runtime.getRuntime().addShutdownHook(new Thread(this::close));
         thread(() -> {
             sleep(MAX_PLAY_MS);
@@ -49,6 +47,14 @@
         });
     }
 
+    private static InetAddress loopback() {
+        try {
+            return InetAddress.getByAddress(new byte[] {127, 0, 0, 1});
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     static long ms() {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - START_NS);
     }
@@ -502,9 +508,7 @@
                 InputStream in = new BufferedInputStream(socket.getInputStream());
                 OutputStream out = socket.getOutputStream();
                 for (Request request = Request.read(in); request != null; request = Request.read(in)) {
-                    if (!quiet) {
-                        note(name + " got " + request.id());
-                    }
+                    note(name + " got " + request.id());
                     runs.merge(request.id(), 1, Integer::sum);
                     if (!behaviour.run(this, request, socket, out)) {
                         return;
