vars and the request trace tell half a request from an idle connection

Cause: a connection that holds half a request and one that is idle looked the same in the log and in vars, so it could not be told whether input was unread, unparsed, unknown to the reducer, or only without a timer.

Change: vars has client_states (connections by what the reducer awaits of them) and client_input (what the sockets' side holds: partly parsed requests, unparsed input). With log.requests, client.receiving tells when a time limit of a request begins.

Measured: OpsIT passes, with varsTellHalfARequestFromAnIdleConnection, which reads both for an idle and a half-written first request.

--- a/src/main/java/granitefold/core/ClientConnections.java
+++ b/src/main/java/granitefold/core/ClientConnections.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 
 /**
  * Tracks client connections: times out those that are too slow, and selects one to close when the limit is reached. Otherwise
@@ -85,6 +86,17 @@
         return entries.size() - byState.get(State.CLOSING).size();
     }
 
+    /** Returns the number of open connections by the name of their state, without the states that no connection is in. */
+    Map<String, Long> countByState() {
+        Map<String, Long> counts = new TreeMap<>();
+        byState.forEach((state, members) -> {
+            if (!members.isEmpty()) {
+                counts.put(state.name(), (long) members.size());
+            }
+        });
+        return counts;
+    }
+
     void opened(long client, long now) {
         if (size() >= maxConnections) {
             makeRoom(now);
@@ -104,16 +116,21 @@
         }
     }
 
-    /** More of a request arrived at time {@code at}, but not its end: its timeout runs on, but its time of silence starts again. */
-    void received(long client, int heldBytes, long at) {
+    /**
+     * More of a request arrived at time {@code at}, but not its end: its timeout runs on, but its time of silence starts again. Returns
+     * whether these are the first bytes on the connection.
+     */
+    boolean received(long client, int heldBytes, long at) {
         Entry entry = entries.get(client);
-        if (entry != null && (entry.state == State.CONNECTED || entry.state == State.RECEIVING)) {
+        boolean first = entry != null && entry.state == State.CONNECTED;
+        if (first || entry != null && entry.state == State.RECEIVING) {
             byState.get(entry.state).remove(client);
             entry.state = State.RECEIVING;
             entry.since = at;
             entry.heldBytes = heldBytes;
             byState.get(State.RECEIVING).put(client, entry);
         }
+        return first;
     }
 
     /** A whole request has arrived. */
--- a/src/main/java/granitefold/core/MetricsPublisher.java
+++ b/src/main/java/granitefold/core/MetricsPublisher.java
@@ -34,7 +34,7 @@
     void publish() {
         if (collector != null) {
             Dispatcher.WorkerCounts counts = reducer.workerCounts();
-            MetricsSnapshot metrics = collector.snapshot(reducer.owed(), counts.listed(), counts.avoided(), reducer.ready());
+            MetricsSnapshot metrics = collector.snapshot(reducer.owed(), reducer.clientStates(), counts.listed(), counts.avoided(), reducer.ready());
             effects.add(new Effect.PublishMetrics(metrics));
         }
     }
--- a/src/main/java/granitefold/core/Reducer.java
+++ b/src/main/java/granitefold/core/Reducer.java
@@ -9,6 +9,7 @@
 import granitefold.recovery.LearnedState;
 import java.util.Collections;
 import java.util.List;
+import java.util.Map;
 import java.util.function.LongConsumer;
 
 /**
@@ -97,6 +98,11 @@
         return core.clients.size();
     }
 
+    /** Returns the number of open client connections by the name of their state. */
+    Map<String, Long> clientStates() {
+        return core.clients.countByState();
+    }
+
     int owed() {
         return requests.owed() + early.size();
     }
@@ -172,9 +178,12 @@
             core.trace.clientOpened(e.client());
             core.clients.opened(e.client(), core.now);
         } else if (event instanceof Event.RequestStarted e) {
+            core.trace.requestPartlyReceived(e.client(), e.heldBytes());
             core.clients.requestStarted(e.client(), e.heldBytes(), core.now - e.unreadUs(), core.now);
         } else if (event instanceof Event.RequestContinued e) {
-            core.clients.received(e.client(), e.heldBytes(), core.now - e.unreadUs());
+            if (core.clients.received(e.client(), e.heldBytes(), core.now - e.unreadUs())) {
+                core.trace.requestPartlyReceived(e.client(), e.heldBytes());
+            }
         } else if (event instanceof Event.MemoryLow) {
             core.clients.freeMemory(core.now);
         } else if (event instanceof Event.RequestArrived e) {
--- a/src/main/java/granitefold/core/RequestTrace.java
+++ b/src/main/java/granitefold/core/RequestTrace.java
@@ -30,6 +30,12 @@
         }
     }
 
+    void requestPartlyReceived(long client, int heldBytes) {
+        if (enabled) {
+            log(LogEvent.CLIENT_RECEIVING, client, heldBytes);
+        }
+    }
+
     void accepted(RequestContext request, long now) {
         if (enabled) {
             log(LogEvent.REQUEST_TAKEN, request.submission().name(), request.id, request.client, request.submission().jobClass(), request.deadline - now);
--- a/src/main/java/granitefold/figures/MetricsCollector.java
+++ b/src/main/java/granitefold/figures/MetricsCollector.java
@@ -64,9 +64,10 @@
         dispatches++;
     }
 
-    /** Returns the metrics now, completed by what others count: requests without an answer, and workers. */
-    public MetricsSnapshot snapshot(int unanswered, int targets, int targetsDisabled, boolean ready) {
+    /** Returns the metrics now, completed by what others count: requests without an answer, client connections by state, and workers. */
+    public MetricsSnapshot snapshot(int unanswered, Map<String, Long> clientStates, int targets, int targetsDisabled, boolean ready) {
         return new MetricsSnapshot(List.of(replies), dispatches, unanswered + pendingReplies.size(), targets, targetsDisabled,
-                Map.copyOf(refusals), Map.copyOf(invalidRequests), Map.copyOf(closedClients), MemoryUse.NONE, LoopUse.NONE, ready);
+                Map.copyOf(refusals), Map.copyOf(invalidRequests), Map.copyOf(closedClients), clientStates,
+                ClientInput.NONE, MemoryUse.NONE, LoopUse.NONE, ready);
     }
 }
--- a/src/main/java/granitefold/logging/LogEvent.java
+++ b/src/main/java/granitefold/logging/LogEvent.java
@@ -59,6 +59,7 @@
     ATTEMPT_SENT("attempt.sent", Level.REQUEST, "request {}: attempt {} is sent, {} us to wait", "txn", "attempt", "wait_us"),
     ATTEMPT_ENDED("attempt.ended", Level.REQUEST, "request {}: attempt {} ended: {}", "txn", "attempt", "outcome"),
     CLIENT_OPENED("client.opened", Level.REQUEST, "client {}: connected", "client"),
+    CLIENT_RECEIVING("client.receiving", Level.REQUEST, "client {}: part of a request has arrived, {} bytes are reserved for it", "client", "bytes"),
     CLIENT_ANSWERED("client.answered", Level.REQUEST, "client {}: answered {} without a job", "client", "status"),
     CLIENT_CLOSED("client.closed", Level.REQUEST, "client {}: closed: {}", "client", "reason"),
     WORKER_CLOSED("worker.closed", Level.REQUEST, "worker connection {}: closed: {}", "connection", "reason"),
--- a/src/main/java/granitefold/net/ClientConnection.java
+++ b/src/main/java/granitefold/net/ClientConnection.java
@@ -88,6 +88,16 @@
         return state == State.WRITING;
     }
 
+    /** Returns whether part of a request, but not its end, has been parsed. */
+    boolean hasPartialRequest() {
+        return state == State.READING && !reader.isAtStart();
+    }
+
+    /** Returns whether input was read that is not parsed yet. */
+    boolean hasUnparsedInput() {
+        return input.hasRemaining();
+    }
+
     /** Input may have arrived with the connection. */
     @Override
     public void onOpen() {
--- a/src/main/java/granitefold/net/EventLoop.java
+++ b/src/main/java/granitefold/net/EventLoop.java
@@ -308,7 +308,7 @@
         } else if (effect instanceof Effect.PublishReport e) {
             statusReporter.publish(e.report());
         } else if (effect instanceof Effect.PublishMetrics e) {
-            figures = e.metrics().withResources(heldMemory.snapshot(), selectorThread.use());
+            figures = e.metrics().withResources(inbound.clientInput(), heldMemory.snapshot(), selectorThread.use());
             if (processes != null && figures.ready()) {
                 processes.register();
             }
--- a/src/main/java/granitefold/net/InboundConnections.java
+++ b/src/main/java/granitefold/net/InboundConnections.java
@@ -3,6 +3,7 @@
 import granitefold.core.CloseReason;
 import granitefold.core.Effect;
 import granitefold.core.Event;
+import granitefold.figures.ClientInput;
 import granitefold.wire.HttpMessages;
 import java.io.IOException;
 import java.net.StandardSocketOptions;
@@ -36,6 +37,17 @@
         return clients.values().stream().anyMatch(ClientConnection::writing);
     }
 
+    /** Counts the connections that have read input which is no whole request yet. */
+    ClientInput clientInput() {
+        int partialRequests = 0;
+        int unparsed = 0;
+        for (ClientConnection client : clients.values()) {
+            partialRequests += client.hasPartialRequest() ? 1 : 0;
+            unparsed += client.hasUnparsedInput() ? 1 : 0;
+        }
+        return new ClientInput(partialRequests, unparsed);
+    }
+
     /** Takes over an accepted connection. */
     void accepted(SocketChannel channel, long waitingSinceNs) throws IOException {
         channel.configureBlocking(false);
--- a/src/main/java/granitefold/wire/MetricsJson.java
+++ b/src/main/java/granitefold/wire/MetricsJson.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
+import granitefold.figures.ClientInput;
 import granitefold.figures.LoopUse;
 import granitefold.figures.MemoryUse;
 import granitefold.figures.MetricsSnapshot;
@@ -40,6 +41,8 @@
             writeCounts(generator, "refusals", metrics.refusals());
             writeCounts(generator, "invalid_requests", metrics.invalidRequests());
             writeCounts(generator, "closed_clients", metrics.closedClients());
+            writeCounts(generator, "client_states", metrics.clientStates());
+            writeInput(generator, metrics.clientInput());
             writeMemory(generator, metrics.memory());
             writeLoop(generator, metrics.loop());
             generator.writeEndObject();
@@ -57,6 +60,13 @@
         generator.writeEndObject();
     }
 
+    private static void writeInput(JsonGenerator generator, ClientInput input) throws IOException {
+        generator.writeObjectFieldStart("client_input");
+        generator.writeNumberField("partial_requests", input.partialRequests());
+        generator.writeNumberField("unparsed", input.unparsed());
+        generator.writeEndObject();
+    }
+
     private static void writeLoop(JsonGenerator generator, LoopUse loop) throws IOException {
         generator.writeObjectFieldStart("loop");
         generator.writeNumberField("discovery_us", loop.discoveryUs());
--- a/src/test/java/granitefold/real/OpsIT.java
+++ b/src/test/java/granitefold/real/OpsIT.java
@@ -106,6 +106,22 @@
         assertTrue(vars().get("memory").get("limit").asLong() > 0);
     }
 
+    /** Guards against half a request that looks like an idle connection: whether it is known, and whether its time limit runs, could not be told. */
+    @Test
+    public void varsTellHalfARequestFromAnIdleConnection() throws Exception {
+        Socket idle = open(dispatcher.address(), HEALTH_CHECK);
+        assertTrue(idle.getInputStream().read() > 0);
+        open(dispatcher.address(), HEALTH_CHECK.substring(0, HEALTH_CHECK.length() / 2));
+        long untilNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(1);
+        while (vars().get("client_input").get("partial_requests").asInt() == 0 && System.nanoTime() - untilNs < 0) {
+            Thread.onSpinWait();
+        }
+        JsonNode vars = vars();
+        assertEquals(vars.get("client_input").get("partial_requests").asInt(), 1);
+        assertEquals(vars.get("client_states").path("RECEIVING").asInt(), 1);
+        assertEquals(vars.get("client_states").path("IDLE_WITHOUT_JOBS").asInt(), 1);
+    }
+
     /** The connection closes while the caller is still writing, and the caller can still read the answer. */
     @Test
     public void oversizedCallIsRejectedWithoutReadingTheRest() throws Exception {
