Half a request behind an answered one gets its time limit, error or close

At a planned end they got nothing for 3 s. Halves of 50 KB held memory for requests that nothing found to free, and large requests of others were rejected with 503 for as long as they stayed.

Cause: ClientConnection reported a part of a request to the reducer only if input had arrived in the same turn. The half had been read earlier, ahead of the answer, or in a turn that ended before it was parsed; no more input came, so nothing was reported, and the reducer, which runs the time limits, took the connection for idle.

Change: what is reported follows from what was parsed since the last report, not from new input. The limit runs from the moment at which the half is taken up, after the answer before it: a client may wait for that answer before it sends on.

--- a/src/main/java/granitefold/net/ClientConnection.java
+++ b/src/main/java/granitefold/net/ClientConnection.java
@@ -50,8 +50,8 @@
     private boolean requestStarted = true;
     /** Whether a request was received: an idle connection without one is not half-closed, since its client is about to send its first. */
     private boolean hasReceivedRequest;
-    /** Whether input has arrived since the input was last read to its end. */
-    private boolean inputArrived;
+    /** Whether more of the current request was parsed than is reported to the reducer. */
+    private boolean parsedSinceReport;
     /** The number of bytes discarded after the last response. */
     private int discardedBytes;
     private final ProxyHandshake proxyHandshake;
@@ -173,8 +173,6 @@
         } else if (count == 0) {
             reportPartialRequest();
             awaitInput();
-        } else {
-            inputArrived = true;
         }
         return count > 0;
     }
@@ -190,7 +188,9 @@
         unparsed.limit(Math.min(end, begin + Math.min(MAX_PARSED_BYTES, turn.remainingBytes())));
         boolean ended = reader.read(unparsed);
         unparsed.limit(end);
-        turn.addBytes(unparsed.position() - begin);
+        int parsedBytes = unparsed.position() - begin;
+        parsedSinceReport |= parsedBytes > 0;
+        turn.addBytes(parsedBytes);
         return ended;
     }
 
@@ -207,15 +207,18 @@
         reportPartialRequest();
     }
 
-    /** Reports that part of a request has arrived since the last report. */
+    /**
+     * Reports that part of a request was parsed since the last report. It may have been read in an earlier turn, as input ahead of an
+     * answer: what has to be reported is not shown by new input.
+     */
     private void reportPartialRequest() {
-        if (state == State.READING && inputArrived && !reader.isAtStart()) {
+        if (parsedSinceReport && hasPartialRequest()) {
             int heldBytes = reader.reservedBytes();
             long unreadUs = maxRequestAgeUs();
             loop.post(requestStarted ? new Event.RequestContinued(id, heldBytes, unreadUs) : new Event.RequestStarted(id, heldBytes, unreadUs));
             requestStarted = true;
+            parsedSinceReport = false;
         }
-        inputArrived = false;
     }
 
     /** Reads the PROXY header; returns false if its input is not available yet, or if the connection was closed for lack of a valid one. */
@@ -310,6 +313,7 @@
         } else {
             state = State.READING;
             requestStarted = false;
+            parsedSinceReport = false;
             reader.startNext();
             input.shrink();
         }
--- a/src/test/java/granitefold/real/RealProgram.java
+++ b/src/test/java/granitefold/real/RealProgram.java
@@ -242,11 +242,17 @@
 
         /** Accepts every connection from now on and answers each request at once with these job states; with none, closes. */
         void serve(String... states) {
+            serveAfter(() -> { }, states);
+        }
+
+        /** The same, but runs an action after each request that was read, before its answer. */
+        void serveAfter(Runnable beforeAnswer, String... states) {
             startDaemon(() -> {
                 while (true) {
                     Exchange e = new Exchange(server.accept());
                     startDaemon(() -> {
                         while (e.read() != null) {
+                            beforeAnswer.run();
                             if (states.length == 0) {
                                 e.close();
                             } else if (e.firstLine.startsWith("GET ")) {
