A connection gives back the buffer of what was read ahead once that is parsed

Callers on other connections were closed without an answer: clients that sent some requests at once and stopped within the last kept up to 124 KiB each reserved from the memory for requests, for as long as they stayed, and no report named it, so the limit that rejects stalled requests first could not find it.

Cause: the buffer shrank only as an answer was written, and only if what was left then fitted the smallest one.

Change: it shrinks as well when all input is parsed and no request is in progress. What a half request holds is then what is reported for it.

--- a/src/main/java/granitefold/net/ClientConnection.java
+++ b/src/main/java/granitefold/net/ClientConnection.java
@@ -171,6 +171,10 @@
         if (count < 0) {
             closeConnection(CloseReason.CLIENT);
         } else if (count == 0) {
+            if (state == State.READING) {
+                // only what is read ahead of an answer needs a larger buffer
+                input.shrink();
+            }
             reportPartialRequest();
             awaitInput();
         }
--- a/src/test/java/granitefold/real/HalfRequestsIT.java
+++ b/src/test/java/granitefold/real/HalfRequestsIT.java
@@ -24,12 +24,14 @@
     private static final int MANY = 40;
     private static final int FIRST_ERROR_STATUS = 400;
     private static final int BODY_BYTES = 64 * 1024;
+    /** With its head it takes more than the smallest buffer, and less than what is counted as the memory of a request. */
+    private static final int SMALL_BODY_BYTES = 4_500;
     private static final Map<String, String> HALF_LIMITS = Map.of("limits", "{\"cores\":1.0,\"memory_mb\":96,\"sockets\":512}");
     /** How long large requests may be rejected after the last client of a crowd has stopped: well below the time limit that ends the crowd. */
     private static final int MAX_REJECTED_MS = 1_000;
     /** Halves of this size, each in a buffer of 64 KiB, nearly fill the memory for requests at the limits above. */
     private static final int HALF_BYTES = 50_000, HALF_MEMORY_BYTES = 60 * 1024, LARGE_CROWD = 104;
-    private static final int LARGE_REQUESTS = 10;
+    private static final int CROWD = 200, LARGE_REQUESTS = 10;
 
     private int lastId;
 
@@ -166,6 +168,24 @@
         }
     }
 
+    /** Guards against buffers that stay large and reserved after what was read ahead is parsed: halves that need little took the memory of others. */
+    @Test
+    public void largeRequestsAreServedBesideHalvesBehindManyRequests() throws Exception {
+        fields.putAll(HALF_LIMITS);
+        start(workerA);
+        workerA.serve("done");
+        String rejected = job("X-Remaining-Ms: 0\r\n", "x".repeat(1_000));
+        String half = job(TIME, "x".repeat(SMALL_BODY_BYTES));
+        String behind = rejected.repeat(MANY) + half.substring(0, half.length() - 1);
+        for (int i = 0; i < CROWD; i++) {
+            Exchange client = program.client().write(job(TIME, "soup") + behind);
+            for (int answers = 0; answers <= MANY; answers++) {
+                assertTrue(client.read() != null, "client " + i + " has " + answers + " answers");
+            }
+        }
+        assertLargeRequestsAreServed();
+    }
+
     /** Halves count as stalled some time after they came, and are rejected in groups: until then large requests may be rejected. */
     private void assertLargeRequestsAreServed() throws IOException {
         long endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MAX_REJECTED_MS);
