The time for a request runs from the answer before it, though it is read later

Callers that stopped within a request got their error or close after up to 3.2 s of the 3 s they are owed, where the process was busy.

Cause: the limit of 2.8 s ran from the moment at which a busy event loop reported the first bytes, not from when they had come or could be taken up.

Change: it runs from the earliest arrival of the first bytes, or from the answer before them if that is later. For that the arrival of input that is read without a report of the selector (before an attempt or a close) is bounded by the last select too; it counted as arrived since the last read, which on an idle connection may be long ago.

Measured: two tests of ReducerTest failed before (no time-out at the time) and pass.

--- a/src/main/java/granitefold/core/ClientConnections.java
+++ b/src/main/java/granitefold/core/ClientConnections.java
@@ -106,14 +106,21 @@
         move(entry, State.CONNECTED, now);
     }
 
-    /** The first bytes of another request arrived at time {@code at}. */
+    /**
+     * The first bytes of another request arrived at time {@code at}. The time for the request to arrive runs from then, though a busy loop
+     * has read them later, or from the answer before it: the client may wait for that answer within its next request.
+     */
     void requestStarted(long client, int heldBytes, long at, long now) {
         Entry entry = entries.get(client);
-        move(entry, State.RECEIVING, now);
-        if (entry != null) {
-            entry.heldBytes = heldBytes;
-            entry.since = at;
+        if (entry == null) {
+            return;
         }
+        long startedAt = Math.max(at, entry.since);
+        move(entry, State.RECEIVING, now);
+        entry.heldBytes = heldBytes;
+        entry.since = at;
+        timers.cancel(entry.timer);
+        entry.timer = timers.at(startedAt + REQUEST_TIMEOUT_US, t -> effects.add(new Effect.TimeOutClient(client)));
     }
 
     /**
--- a/src/main/java/granitefold/net/ClientConnection.java
+++ b/src/main/java/granitefold/net/ClientConnection.java
@@ -108,10 +108,15 @@
 
     @Override
     public void onFillable() {
-        input.unreadSince(selectorThread.earliestArrivalNs(awaitingSince));
+        noteArrival();
         turn.request();
     }
 
+    /** Notes since when input may have been waiting at the earliest: the selects before had not reported it. */
+    private void noteArrival() {
+        input.unreadSince(selectorThread.earliestArrivalNs(awaitingSince));
+    }
+
     @Override
     public void onFillInterestedFailed(Throwable cause) {
         closeConnection(CloseReason.BROKEN);
@@ -298,6 +303,9 @@
     /** Reads without waiting for a turn. */
     private void readNow() {
         if (!readingInput) {
+            if (isFillInterested()) {
+                noteArrival();
+            }
             turn.runNow();
         }
     }
--- a/src/test/java/granitefold/core/ReducerTest.java
+++ b/src/test/java/granitefold/core/ReducerTest.java
@@ -114,6 +114,38 @@
         assertEquals(Phase.SERVING, reducer.phase());
     }
 
+    /** Guards against a time limit that a busy loop prolongs: half a request behind an answered one got its error after 3.2 s. */
+    @Test
+    void theTimeForARequestRunsFromTheAnswerBeforeItThoughItIsReadLater() {
+        answerHealthCheck();
+        now += SECOND / 2;
+        assertTimesOutAfter(ClientConnections.REQUEST_TIMEOUT_US - SECOND / 2, new Event.RequestStarted(7, 0, 2 * SECOND));
+    }
+
+    /** The same on a connection that was idle: its next request has its whole time from its first bytes. */
+    @Test
+    void theTimeForARequestOnAnIdleConnectionRunsFromItsFirstBytes() {
+        answerHealthCheck();
+        now += 10 * SECOND;
+        assertTimesOutAfter(ClientConnections.REQUEST_TIMEOUT_US - SECOND / 2, new Event.RequestStarted(7, 0, SECOND / 2));
+    }
+
+    private void answerHealthCheck() {
+        open(7);
+        play(new Event.AnsweredLocally(7));
+        play(new Event.AnswerWritten(7, false));
+    }
+
+    private void assertTimesOutAfter(long timeoutUs, Event.RequestStarted event) {
+        play(event);
+        now += timeoutUs - 1;
+        play(new Event.Woken());
+        assertEquals(List.of(), all(Effect.TimeOutClient.class));
+        now++;
+        play(new Event.Woken());
+        assertEquals(List.of(new Effect.TimeOutClient(event.client())), all(Effect.TimeOutClient.class));
+    }
+
     /** Guards against stalled clients that displace clients which write slowly but steadily. */
     @Test
     void aSlowWriterIsKeptRatherThanStalledClients() {
