A request whose decoding fails by a defect gets 500, and its connection ends

Callers would see neither an error nor a close, for good, where decoding a request throws something other than the error of a bad request. No input is known that does so; the test plants a failure. Found in looking for other states of a client connection in which nothing is in progress and no time limit runs.

Cause: the connection counted as processing, but no event had reached the reducer; its time limit, as it fell due, found no request that was being read, and did nothing. A failure while input is parsed left a connection that nothing read any more, idle ones without a limit.

Change: a request that fails before it reaches the reducer is answered with 500 and logged as internal.error; a failure while input is parsed closes the connection.

Measured: InternalErrorIT.requestThatFailsToBeDecodedGetsAnErrorOrClose failed before (read timed out after 3 s) and passes. HalfRequestsIT and RandomClientInputIT pass.

--- a/src/main/java/granitefold/net/ClientConnection.java
+++ b/src/main/java/granitefold/net/ClientConnection.java
@@ -42,16 +42,13 @@
     private final ReadAheadBuffer input;
     private final SelectorThread selectorThread;
     private final ReadTurn turn;
+    private final PartialRequestReporter partialRequests;
     private State state = State.READING;
     private boolean readingInput;
     /** The number of selects when the connection began to wait for input. */
     private long awaitingSince;
-    /** Whether the reducer was notified that a request has begun to arrive. */
-    private boolean requestStarted = true;
     /** Whether a request was received: an idle connection without one is not half-closed, since its client is about to send its first. */
     private boolean hasReceivedRequest;
-    /** Whether more of the current request was parsed than is reported to the reducer. */
-    private boolean parsedSinceReport;
     /** The number of bytes discarded after the last response. */
     private int discardedBytes;
     private final ProxyHandshake proxyHandshake;
@@ -69,6 +66,7 @@
         input = new ReadAheadBuffer(reserveBytes, waitingSinceNs);
         turn = new ReadTurn(selectorThread.turns(), TurnScheduler.Priority.CLIENTS, ReadTurn.MAX_BYTES, this::readInput);
         reader = new RequestReader(reserveBytes, responses::writeContinue);
+        partialRequests = new PartialRequestReporter(loop::post, id);
         proxyHandshake = new ProxyHandshake(loop.clientSettings(), endPoint.getRemoteSocketAddress());
     }
 
@@ -138,6 +136,12 @@
             while (getEndPoint().isOpen() && readOnce()) { }
         } catch (IOException e) {
             closeConnection(CloseReason.BROKEN);
+        } catch (RuntimeException e) {
+            if (state == State.READING) {
+                // nothing would read on, and an idle connection has no time limit
+                closeConnection(CloseReason.BROKEN);
+            }
+            throw e;
         } finally {
             readingInput = false;
         }
@@ -149,7 +153,9 @@
             return false;
         }
         if (state == State.READING && turn.isOver()) {
-            yieldTurn();
+            // other connections and the timers run before the input that is left
+            turn.endUnfinished();
+            reportPartialRequest();
             return false;
         }
         if (state == State.READING && input.hasRemaining()) {
@@ -198,7 +204,7 @@
         boolean ended = reader.read(unparsed);
         unparsed.limit(end);
         int parsedBytes = unparsed.position() - begin;
-        parsedSinceReport |= parsedBytes > 0;
+        partialRequests.parsed(parsedBytes);
         turn.addBytes(parsedBytes);
         return ended;
     }
@@ -210,23 +216,9 @@
         }
     }
 
-    /** Lets other connections and the timers run before the input that is left. */
-    private void yieldTurn() {
-        turn.endUnfinished();
-        reportPartialRequest();
-    }
-
-    /**
-     * Reports that part of a request was parsed since the last report. It may have been read in an earlier turn, as input ahead of an
-     * answer: what has to be reported is not shown by new input.
-     */
     private void reportPartialRequest() {
-        if (parsedSinceReport && hasPartialRequest()) {
-            int heldBytes = reader.reservedBytes();
-            long unreadUs = maxRequestAgeUs();
-            loop.post(requestStarted ? new Event.RequestContinued(id, heldBytes, unreadUs) : new Event.RequestStarted(id, heldBytes, unreadUs));
-            requestStarted = true;
-            parsedSinceReport = false;
+        if (hasPartialRequest()) {
+            partialRequests.report(reader.reservedBytes(), maxRequestAgeUs());
         }
     }
 
@@ -271,37 +263,44 @@
             return;
         }
         try {
-            wantsMetrics = loop.clientSettings().loadMetrics() && reader.hasHeader(StatusReporter.METRICS_REQUEST_HEADER, "text");
-            Submission submission = reader.decode(loop.vocabulary());
-            // a loop that reads the request late must not start an attempt for a client that left long ago
-            switch (input.readToEnd(getEndPoint())) {
-                case CLOSED -> closeConnection(CloseReason.CLIENT);
-                case FULL -> throw new BadRequestException(503, "more input ahead of an answer than is read");
-                case OPEN -> loop.post(new Event.RequestArrived(id, submission, maxRequestAgeUs()));
-            }
+            submit();
         } catch (BadRequestException e) {
             if (loop.clientSettings().proxyHeaderRequired()) {
                 EventLog.log(LogEvent.CLIENT_REFUSED, proxyHandshake.sourceAddress(), e.getMessage());
             }
-            // the input that follows cannot be trusted to be a request: the connection is closed
-            loop.post(new Event.AnsweredLocally(id, e.status()));
-            answer(e.status() == 503 ? HttpMessages.answer(FinalAnswer.Rejected.withDefaultRetry(Refusal.LIMIT), true)
-                    : HttpMessages.plainText(e.status(), e.getMessage(), true), true);
+            refuse(e.status(), e.status() == 503 ? HttpMessages.answer(FinalAnswer.Rejected.withDefaultRetry(Refusal.LIMIT), true)
+                    : HttpMessages.plainText(e.status(), e.getMessage(), true));
+        } catch (RuntimeException e) {
+            EventLog.error(LogEvent.INTERNAL_ERROR, e, "request");
+            refuse(500, HttpMessages.plainText(500, "internal error", true));
         }
     }
 
+    /** Passes a request on to the reducer, unless it is invalid or its client has gone. */
+    private void submit() throws BadRequestException {
+        wantsMetrics = loop.clientSettings().loadMetrics() && reader.hasHeader(StatusReporter.METRICS_REQUEST_HEADER, "text");
+        Submission submission = reader.decode(loop.vocabulary());
+        // a loop that reads the request late must not start an attempt for a client that left long ago
+        switch (input.readToEnd(getEndPoint())) {
+            case CLOSED -> closeConnection(CloseReason.CLIENT);
+            case FULL -> throw new BadRequestException(503, "more input ahead of an answer than is read");
+            case OPEN -> loop.post(new Event.RequestArrived(id, submission, maxRequestAgeUs()));
+        }
+    }
+
+    /** Answers a request that does not reach the reducer. The input that follows cannot be trusted to be a request: the connection is closed. */
+    private void refuse(int status, ByteBuffer[] message) {
+        loop.post(new Event.AnsweredLocally(id, status));
+        answer(message, true);
+    }
+
     /** Returns the longest time that the byte which was parsed last may have been waiting. */
     private long maxRequestAgeUs() {
         return TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - input.consumedSinceNs());
     }
 
-    /** Reads the input that has arrived by now, which shows whether the client has disconnected. */
-    void readPending() {
-        readNow();
-    }
-
-    /** Reads without waiting for a turn. */
-    private void readNow() {
+    /** Reads the input that has arrived by now without waiting for a turn, which shows whether the client has disconnected. */
+    void readNow() {
         if (!readingInput) {
             if (isFillInterested()) {
                 noteArrival();
@@ -324,8 +323,7 @@
             getEndPoint().shutdownOutput();
         } else {
             state = State.READING;
-            requestStarted = false;
-            parsedSinceReport = false;
+            partialRequests.startNext();
             reader.startNext();
             input.shrink();
         }
--- a/src/main/java/granitefold/net/InboundConnections.java
+++ b/src/main/java/granitefold/net/InboundConnections.java
@@ -100,7 +100,7 @@
     boolean readPending(long id) {
         ClientConnection client = clients.get(id);
         if (client != null) {
-            client.readPending();
+            client.readNow();
         }
         return clients.containsKey(id);
     }
