--- a/src/test/java/granitefold/real/UpgradeIT.java
+++ b/src/test/java/granitefold/real/UpgradeIT.java
@@ -7,6 +7,7 @@
 import granitefold.standin.ClosedLoopClients.End;
 import granitefold.standin.Fleet;
 import java.io.IOException;
+import java.net.Socket;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.Test;
@@ -58,6 +59,36 @@
         }
     }
 
+    /** The time in which a client that has stopped within a request gets an error or a close. */
+    private static final int OWED_MS = 3_000;
+    /** More than a connection may process in one turn. */
+    private static final int HEALTH_CHECKS = 40;
+
+    /** Guards against half a request behind answered ones that the old process leaves open until its own end. */
+    @Test
+    public void halfARequestAtTheOldProcessGetsAnErrorOrClose() throws Exception {
+        try (Fleet fleet = new Fleet(1, 8)) {
+            Fleet.Dispatcher dispatcher = startServing(fleet);
+            try (Socket socket = new Socket()) {
+                socket.connect(dispatcher.address());
+                Exchange client = new Exchange(socket);
+                String healthCheck = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
+                assertEquals(client.write(healthCheck).readStatus(), 200);
+                Process old = dispatcher.startAlongside();
+                dispatcher.awaitReady();
+                client.write(healthCheck.repeat(HEALTH_CHECKS) + healthCheck.substring(0, healthCheck.length() / 2));
+                for (int i = 0; i < HEALTH_CHECKS; i++) {
+                    assertEquals(client.readStatus(), 200);
+                }
+                old.destroy();
+                socket.setSoTimeout(OWED_MS);
+                assertTrue(client.read() == null || client.lastStatus() >= 400, client.firstLine);
+                socket.close();
+                assertExitsNormally(old);
+            }
+        }
+    }
+
     /** A new version that never serves or exits early does not affect the old one. */
     @Test
     public void newVersionThatExitsEarlyLosesNothing() throws Exception {
