A request that has arrived whole is not timed out in the turn that reports it

Cause: the limit counts from the arrival, so it can be over as the first turn reports the request. The time-out then ran within that turn, where what has arrived is not read on before it decides.

Change: the reducer sets it after the event at the earliest. It then falls due outside of read turns, where what has arrived is read first, as before. A first form, not kept, deferred the time-out in the connection; it could have met the next, idle state of the connection.

--- a/src/main/java/granitefold/core/ClientConnections.java
+++ b/src/main/java/granitefold/core/ClientConnections.java
@@ -120,7 +120,9 @@
         entry.heldBytes = heldBytes;
         entry.since = at;
         timers.cancel(entry.timer);
-        entry.timer = timers.at(startedAt + REQUEST_TIMEOUT_US, t -> effects.add(new Effect.TimeOutClient(client)));
+        // not within this event, which may come from the middle of reading what has arrived
+        long timeOutAt = Math.max(startedAt + REQUEST_TIMEOUT_US, now + 1);
+        entry.timer = timers.at(timeOutAt, t -> effects.add(new Effect.TimeOutClient(client)));
     }
 
     /**
--- a/src/main/java/granitefold/net/ClientConnection.java
+++ b/src/main/java/granitefold/net/ClientConnection.java
@@ -340,13 +340,11 @@
         for (int turns = 1; turns < MAX_TURNS_AT_TIMEOUT && state == State.READING && turn.isUnfinished(); turns++) {
             readNow();
         }
-        if (state == State.READING) {
-            if (!reader.isAtStart()) {
-                reader.fail(new BadRequestException(408, "the request did not come to its end"));
-                handleRequest();
-            } else if (!turn.isUnfinished()) {
-                closeConnection(CloseReason.TIMED_OUT);
-            }
+        if (hasPartialRequest()) {
+            reader.fail(new BadRequestException(408, "the request did not come to its end"));
+            handleRequest();
+        } else if (state == State.READING && !turn.isUnfinished()) {
+            closeConnection(CloseReason.TIMED_OUT);
         }
     }
 
--- a/src/test/java/granitefold/real/HalfRequestsIT.java
+++ b/src/test/java/granitefold/real/HalfRequestsIT.java
@@ -22,6 +22,8 @@
     private static final String HEALTH_CHECK = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
     /** More than a connection may process in one turn. */
     private static final int MANY = 40;
+    /** The time for a health check to reach the event loop. */
+    private static final int BEGIN_MS = 100;
     private static final int FIRST_ERROR_STATUS = 400;
     private static final int BODY_BYTES = 64 * 1024;
     /** With its head it takes more than the smallest buffer, and less than what is counted as the memory of a request. */
@@ -108,6 +110,23 @@
         assertEquals(client.readStatus() + client.body, "200made salt");
     }
 
+    /** Guards against a time limit that is over once a busy loop has read the first turn of a large request, all of which has arrived. */
+    @Test
+    public void wholeRequestThatABusyLoopReadsLateIsServed() throws Exception {
+        try (BusyLoop busyLoop = new BusyLoop(TimeUnit.MILLISECONDS.toNanos(OWED_MS))) {
+            program = new RealProgram(null, busyLoop.environment(), fields, workerA);
+            program.awaitServing();
+            workerA.serve("done");
+            Exchange client = program.client().write(job(TIME, "soup"));
+            assertEquals(client.readStatus(), 200);
+            Exchange healthCheck = program.client().write(HEALTH_CHECK);
+            TimeUnit.MILLISECONDS.sleep(BEGIN_MS);
+            client.write(job(TIME, "x".repeat(BODY_BYTES - 1_000)));
+            assertEquals(healthCheck.readStatus(), 200);
+            assertEquals(client.readStatus(), 200);
+        }
+    }
+
     /** Guards against a half that stays open through a planned end: the process waited for it, or ended without a word. */
     @Test
     public void halfARequestBehindAnAnsweredOneEndsBeforeThePlannedEnd() throws Exception {
